The proxy on real sockets: engine, server, backends, discovery

One program round the module: hyper on a current-thread runtime, with an idle pool of its own so that nothing is sent again behind the module's back.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,6 +8,7 @@
 
 mod interface;
 mod logic;
+pub mod proxy;
 pub mod wire;
 
 pub use interface::*;
--- /dev/null
+++ b/src/proxy/backend.rs
@@ -0,0 +1,325 @@
+//! Connections to backends, attempts and probes on them, and the exact outcome of each.
+
+use super::engine::{Clock, Payload};
+use crate::{Outcome, Report, Time};
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper::client::conn::http1;
+use hyper::header::{CONTENT_TYPE, HeaderValue};
+use hyper::{Request, Response, StatusCode};
+use hyper_util::rt::TokioIo;
+use std::cell::{Cell, RefCell};
+use std::future::Future;
+use std::io;
+use std::net::SocketAddr;
+use std::pin::{Pin, pin};
+use std::rc::Rc;
+use std::task::{Context, Poll, Waker};
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::time::Instant;
+
+/// Largest body, of a request or an answer.
+pub const MOST_BODY: usize = 64 << 10;
+/// Part of the idle limit of backends up to which a connection is used again: one that is used
+/// close to the limit crosses the backend's closing, and the request on it is lost.
+const REUSE_WITHIN: f64 = 0.7;
+
+/// A connection and what drives it. Nothing is read or written but while its owner waits on it,
+/// so that dropping it ends both at once.
+pub struct Peer {
+    sender: http1::SendRequest<Full<Bytes>>,
+    io: Pin<Box<http1::Connection<TokioIo<TcpStream>, Full<Bytes>>>>,
+}
+
+type Sent = hyper::client::conn::TrySendError<Request<Full<Bytes>>>;
+
+/// Connects.
+pub async fn connect(address: SocketAddr, within: Duration) -> io::Result<Peer> {
+    let stream = tokio::time::timeout(within, TcpStream::connect(address)).await??;
+    stream.set_nodelay(true)?;
+    let (sender, io) = http1::handshake(TokioIo::new(stream)).await.map_err(io::Error::other)?;
+    Ok(Peer { sender, io: Box::pin(io) })
+}
+
+impl Peer {
+    /// Waits for `wanted` while the connection works. None if it ends without it.
+    pub async fn drive<F: Future>(&mut self, wanted: F) -> Option<F::Output> {
+        drive(&mut self.io, wanted).await
+    }
+
+    /// Sends a request and waits for the head of the answer.
+    pub async fn send(&mut self, request: Request<Full<Bytes>>) -> Result<Response<Incoming>, Sent> {
+        let mut answer = pin!(self.sender.try_send_request(request));
+        let io = &mut self.io;
+        std::future::poll_fn(|cx| {
+            // The connection's end reaches the answer, so that nothing else has to be told.
+            let _ = io.as_mut().poll(cx);
+            answer.as_mut().poll(cx)
+        })
+        .await
+    }
+
+    /// It, if it can carry another request.
+    pub async fn idle(mut self) -> Option<Self> {
+        let ready = drive(&mut self.io, self.sender.ready()).await;
+        matches!(ready, Some(Ok(()))).then_some(self)
+    }
+
+    /// It, if the other side has not closed it meanwhile.
+    pub fn checked(mut self) -> Option<Self> {
+        let mut cx = Context::from_waker(Waker::noop());
+        (self.io.as_mut().poll(&mut cx).is_pending() && self.sender.is_ready()).then_some(self)
+    }
+}
+
+async fn drive<F: Future>(
+    io: &mut Pin<Box<http1::Connection<TokioIo<TcpStream>, Full<Bytes>>>>,
+    wanted: F,
+) -> Option<F::Output> {
+    let mut wanted = pin!(wanted);
+    std::future::poll_fn(|cx| {
+        let ended = io.as_mut().poll(cx).is_ready();
+        match wanted.as_mut().poll(cx) {
+            Poll::Ready(output) => Poll::Ready(Some(output)),
+            Poll::Pending if ended => Poll::Ready(None),
+            Poll::Pending => Poll::Pending,
+        }
+    })
+    .await
+}
+
+/// How many connections to backends may be open, all together.
+pub struct Budget {
+    open: Cell<usize>,
+    most: usize,
+}
+
+/// A connection's part of the budget.
+struct Permit(Rc<Budget>);
+
+impl Budget {
+    /// Room for so many.
+    pub fn new(most: usize) -> Rc<Self> {
+        Rc::new(Self { open: Cell::new(0), most })
+    }
+
+    /// There is room for none.
+    pub fn full(&self) -> bool {
+        self.open.get() >= self.most
+    }
+
+    fn take(self: &Rc<Self>) -> Option<Permit> {
+        (!self.full()).then(|| {
+            self.open.set(self.open.get() + 1);
+            Permit(self.clone())
+        })
+    }
+}
+
+impl Drop for Permit {
+    fn drop(&mut self) {
+        self.0.open.set(self.0.open.get() - 1);
+    }
+}
+
+struct Idle {
+    peer: Peer,
+    permit: Permit,
+    since: Instant,
+}
+
+/// A backend, its idle connections, and when sends to it must end.
+pub struct Endpoint {
+    address: Cell<SocketAddr>,
+    idle: RefCell<Vec<Idle>>,
+    /// Set while it drains or is gone.
+    last_send: Cell<Option<Time>>,
+    /// Goes up when its connections are no longer to be kept.
+    era: Cell<u64>,
+    budget: Rc<Budget>,
+    connect_timeout: Duration,
+    reuse_within: Duration,
+}
+
+impl Endpoint {
+    /// A backend at `address`.
+    pub fn new(address: SocketAddr, budget: Rc<Budget>, connect_timeout: Duration, idle: Duration) -> Self {
+        Self {
+            address: Cell::new(address),
+            idle: RefCell::default(),
+            last_send: Cell::new(None),
+            era: Cell::new(0),
+            budget,
+            connect_timeout,
+            reuse_within: idle.mul_f64(REUSE_WITHIN),
+        }
+    }
+
+    /// What the list now says: where it is and, if it drains or is gone, when sends must end.
+    pub fn update(&self, address: SocketAddr, last_send: Option<Time>) {
+        if self.address.replace(address) != address || last_send.is_some() {
+            self.release();
+        }
+        // Hearing of the same drain again doesn't extend the grace.
+        let earlier = self.last_send.get().filter(|_| last_send.is_some());
+        self.last_send.set(earlier.or(last_send));
+    }
+
+    /// It is gone from the list: sends must end by `last_send`.
+    pub fn end(&self, last_send: Time) {
+        self.update(self.address.get(), Some(last_send));
+    }
+
+    /// Closes the idle connections, and those in use once they become idle.
+    pub fn release(&self) {
+        self.era.set(self.era.get() + 1);
+        self.idle.borrow_mut().clear();
+    }
+
+    /// Closes connections that have been idle too long, or that the backend has closed.
+    pub fn sweep(&self) {
+        let fresh = |idle: Idle| {
+            let Idle { peer, permit, since } = idle;
+            let peer = peer.checked().filter(|_| since.elapsed() < self.reuse_within)?;
+            Some(Idle { peer, permit, since })
+        };
+        let swept = self.idle.take().into_iter().filter_map(fresh).collect();
+        self.idle.replace(swept);
+    }
+
+    /// Closes the connection that has been idle longest; tells whether there was one.
+    pub fn evict(&self) -> bool {
+        let mut idle = self.idle.borrow_mut();
+        !idle.is_empty() && {
+            drop(idle.remove(0));
+            true
+        }
+    }
+
+    fn may_send(&self, clock: &Clock) -> bool {
+        self.last_send.get().is_none_or(|last| clock.now() < last)
+    }
+
+    /// An idle connection, the one used last, or a new one.
+    async fn peer(&self) -> Option<(Peer, Permit)> {
+        loop {
+            let Some(Idle { peer, permit, since }) = self.idle.borrow_mut().pop() else {
+                break;
+            };
+            if since.elapsed() < self.reuse_within
+                && let Some(peer) = peer.checked()
+            {
+                return Some((peer, permit));
+            }
+        }
+        let permit = self.budget.take()?;
+        let peer = connect(self.address.get(), self.connect_timeout).await.ok()?;
+        Some((peer, permit))
+    }
+}
+
+/// An answer of a backend.
+pub struct Served {
+    /// Its body.
+    pub body: Bytes,
+    /// What the body is.
+    pub content_type: Option<HeaderValue>,
+}
+
+/// How an attempt or probe ended.
+pub struct Done {
+    /// The outcome.
+    pub outcome: Outcome,
+    /// The answer, if it was served.
+    pub served: Option<Served>,
+    /// The load report that came along.
+    pub report: Option<Report>,
+}
+
+impl Done {
+    fn without_answer(outcome: Outcome) -> Self {
+        Self { outcome, served: None, report: None }
+    }
+}
+
+/// Makes one attempt. `written` is set as soon as any of the request may have gone out: from then
+/// on a break may hide a request that runs, and is told as a reset.
+pub async fn attempt(
+    endpoint: Rc<Endpoint>,
+    payload: Rc<Payload>,
+    clock: Clock,
+    until: Time,
+    written: Rc<Cell<bool>>,
+) -> Done {
+    exchange(&endpoint, &clock, &written, || payload.request(until - clock.now())).await
+}
+
+/// Makes one probe of `path`.
+pub async fn probe(endpoint: Rc<Endpoint>, path: &'static str, clock: Clock) -> Done {
+    let request = || {
+        let mut request = Request::new(Full::default());
+        *request.uri_mut() = hyper::Uri::from_static(path);
+        request.headers_mut().insert("host", HeaderValue::from_static("backend"));
+        request
+    };
+    let within = 4 * endpoint.connect_timeout;
+    let written = Cell::new(false);
+    let probed = exchange(&endpoint, &clock, &written, request);
+    tokio::time::timeout(within, probed).await.unwrap_or(Done::without_answer(Outcome::Timeout))
+}
+
+async fn exchange(
+    endpoint: &Endpoint,
+    clock: &Clock,
+    written: &Cell<bool>,
+    request: impl Fn() -> Request<Full<Bytes>>,
+) -> Done {
+    let era = endpoint.era.get();
+    let (mut peer, permit, answer) = loop {
+        let Some((mut peer, permit)) = endpoint.peer().await else {
+            return Done::without_answer(Outcome::NoConnection);
+        };
+        // The news of a drain may have come while the connection was made.
+        if !endpoint.may_send(clock) {
+            return Done::without_answer(Outcome::NoConnection);
+        }
+        written.set(true);
+        match peer.send(request()).await {
+            Ok(answer) => break (peer, permit, answer),
+            // Handed back whole: the connection had ended before any of it was written.
+            Err(mut error) => match error.take_message() {
+                Some(_) => written.set(false),
+                None => return Done::without_answer(Outcome::Reset),
+            },
+        }
+    };
+    let (head, body) = answer.into_parts();
+    let Some(Ok(body)) = peer.drive(Limited::new(body, MOST_BODY).collect()).await else {
+        return Done::without_answer(Outcome::Reset);
+    };
+    let body = body.to_bytes();
+    if let Some(peer) = peer.idle().await
+        && endpoint.era.get() == era
+    {
+        endpoint.idle.borrow_mut().push(Idle { peer, permit, since: Instant::now() });
+    }
+    let turned_away = || head.headers.get("x-turned-away").is_some_and(|v| v == "1");
+    let outcome = match head.status {
+        StatusCode::OK => Outcome::Served,
+        StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if turned_away() => Outcome::Full,
+        _ => Outcome::Error,
+    };
+    let report = head.headers.get("x-pressure").and_then(|v| report(v.as_bytes()));
+    let content_type = head.headers.get(CONTENT_TYPE).cloned();
+    let served = (outcome == Outcome::Served).then_some(Served { body, content_type });
+    Done { outcome, served, report }
+}
+
+/// Reads a load report; what the decisions can't use is skipped.
+pub fn report(json: &[u8]) -> Option<Report> {
+    let fields: serde_json::Map<String, serde_json::Value> = serde_json::from_slice(json).ok()?;
+    let service = fields.get("avg_ms").or(fields.get("latency_ms")).and_then(|v| v.as_f64());
+    Some(Report { service: service.filter(|ms| *ms >= 0.0).map(|ms| ms / 1000.0) })
+}
--- /dev/null
+++ b/src/proxy/config.rs
@@ -0,0 +1,307 @@
+//! What a proxy is told at its start: environment and JSON, turned into the module's settings.
+
+use super::discovery::{self, RawList};
+use crate::{Class, Effect, Group, Settings, Time};
+use serde::Deserialize;
+use std::net::SocketAddr;
+use std::time::Duration;
+use thiserror::Error;
+
+/// Why the configuration can't be used.
+#[derive(Debug, Error)]
+pub enum ConfigError {
+    /// An environment variable that is absent or not text.
+    #[error("{0} is not set")]
+    Unset(&'static str),
+    /// A file that can't be read.
+    #[error("cannot read {path}: {error}")]
+    Read {
+        /// The file.
+        path: String,
+        /// What the system said.
+        error: std::io::Error,
+    },
+    /// JSON that is malformed or lacks a value.
+    #[error("{path}: {error}")]
+    Json {
+        /// The file.
+        path: String,
+        /// What is wrong, and where.
+        error: serde_json::Error,
+    },
+    /// A value that makes no sense.
+    #[error("{name}: expected {expected}, got '{got}'")]
+    Value {
+        /// Its name.
+        name: String,
+        /// What it should have been.
+        expected: &'static str,
+        /// What it was.
+        got: String,
+    },
+}
+
+/// Everything that a proxy is told.
+#[derive(Debug)]
+pub struct Config {
+    /// Where clients connect.
+    pub listen: SocketAddr,
+    /// Where discovery is.
+    pub discovery: SocketAddr,
+    /// For the module's random numbers.
+    pub seed: u64,
+    /// File descriptors that the process may hold.
+    pub sockets: usize,
+    /// The list of backends as last had.
+    pub known: RawList,
+    /// What the module is told.
+    pub settings: Settings,
+    /// What only the proxy needs of the settings.
+    pub wire: WireSettings,
+}
+
+/// The part of the settings that sockets need and decisions don't.
+#[derive(Debug, Default)]
+pub struct WireSettings {
+    /// Class names, in the order of the settings.
+    pub classes: Vec<String>,
+    /// Tenant names, in the order of the settings.
+    pub tenants: Vec<String>,
+    /// Zone names; an entry's zone is the place of its name here.
+    pub zones: Vec<String>,
+    /// A connection not up by then never comes up.
+    pub connect_timeout: Duration,
+    /// Backends close idle connections after this.
+    pub idle_close: Duration,
+    /// Nothing new to a backend this long after the news that it drains or is gone.
+    pub drain_grace: Duration,
+    /// Requests that may be open at once.
+    pub max_open: usize,
+}
+
+#[derive(Deserialize)]
+struct File {
+    listen: Option<String>,
+    discovery: Option<String>,
+    seed: String,
+    limits: Limits,
+    #[serde(default)]
+    known: RawList,
+    settings: RawSettings,
+}
+
+#[derive(Deserialize)]
+struct Limits {
+    sockets: usize,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "kebab-case")]
+struct RawSettings {
+    caps: Caps,
+    classes: Vec<RawClass>,
+    #[serde(default)]
+    costs: Costs,
+    me: usize,
+    n_instances: usize,
+    over_share_worth: Option<f64>,
+    #[serde(default)]
+    projects: Vec<Project>,
+    quantum: f64,
+    registry_mode: RegistryMode,
+    rules: Rules,
+    #[serde(default)]
+    stats: Stats,
+    #[serde(default)]
+    tier: usize,
+    #[serde(default)]
+    zone: String,
+    #[serde(default)]
+    zones: Vec<String>,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "kebab-case")]
+struct Caps {
+    cancel: bool,
+    connect_timeout: f64,
+    idle_close: f64,
+    max_attempts: usize,
+    max_open: Option<usize>,
+    #[serde(default)]
+    max_retry_after: f64,
+    #[serde(default)]
+    probing: bool,
+    #[serde(default)]
+    retry_after: bool,
+    second_copies: bool,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "kebab-case")]
+struct RawClass {
+    name: String,
+    on_time: f64,
+    hard_limit: f64,
+    late_worth: Option<f64>,
+    worth: Option<f64>,
+    effect: RawEffect,
+    group: Option<RawGroup>,
+    window: Option<f64>,
+    #[serde(default)]
+    fifo_by_key: bool,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum RawEffect {
+    Free,
+    Guarded,
+    SingleShot,
+}
+
+#[derive(Deserialize, Clone, Copy)]
+#[serde(rename_all = "snake_case")]
+enum RawGroup {
+    All,
+    Zone,
+    Cell,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(rename_all = "kebab-case", default)]
+struct Costs {
+    connection: f64,
+    cross_zone: f64,
+    handshake: f64,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "kebab-case")]
+struct Project {
+    name: String,
+    quota_per_s: f64,
+}
+
+#[derive(Deserialize, PartialEq)]
+#[serde(rename_all = "snake_case")]
+enum RegistryMode {
+    Automatic,
+    Subscribe,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "kebab-case")]
+struct Rules {
+    ask_within: f64,
+    cold: f64,
+    cold_share: f64,
+    drain_grace: f64,
+    fall_multiple: f64,
+    tip_after: f64,
+    settle_after_doubt: Option<f64>,
+    release_within: Option<f64>,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(default)]
+struct Stats {
+    how: String,
+}
+
+fn bad(name: &str, expected: &'static str, got: impl ToString) -> ConfigError {
+    ConfigError::Value { name: name.to_string(), expected, got: got.to_string() }
+}
+
+/// A span of time that fits a `Duration`.
+fn span(name: &str, seconds: f64) -> Result<Duration, ConfigError> {
+    Duration::try_from_secs_f64(seconds).map_err(|_| bad(name, "seconds, not below 0", seconds))
+}
+
+impl Config {
+    /// Reads the environment and the file that it names.
+    pub fn from_env() -> Result<Self, ConfigError> {
+        let var = |name: &'static str| std::env::var(name).map_err(|_| ConfigError::Unset(name));
+        let path = var("RELAY_CONFIG")?;
+        let text = std::fs::read_to_string(&path)
+            .map_err(|error| ConfigError::Read { path: path.clone(), error })?;
+        let file: File = serde_json::from_str(&text).map_err(|error| ConfigError::Json { path, error })?;
+        let address = |name: &'static str, in_file: &Option<String>| {
+            let text = var(name).or_else(|unset| in_file.clone().ok_or(unset))?;
+            text.parse::<SocketAddr>().map_err(|_| bad(name, "address:port", text))
+        };
+        let listen = address("RELAY_LISTEN", &file.listen)?;
+        let discovery = address("RELAY_DISCOVERY", &file.discovery)?;
+        Self::from_file(file, listen, discovery)
+    }
+
+    fn from_file(file: File, listen: SocketAddr, discovery: SocketAddr) -> Result<Self, ConfigError> {
+        let seed = u64::from_str_radix(&file.seed, 16).map_err(|_| bad("seed", "hex digits", &file.seed))?;
+        let raw = file.settings;
+        let mut zones = raw.zones;
+        let zone = discovery::zone_index(&mut zones, &raw.zone);
+        let wire = WireSettings {
+            classes: raw.classes.iter().map(|c| c.name.clone()).collect(),
+            tenants: raw.projects.iter().map(|p| p.name.clone()).collect(),
+            zones,
+            connect_timeout: span("caps.connect-timeout", raw.caps.connect_timeout)?,
+            idle_close: span("caps.idle-close", raw.caps.idle_close)?,
+            drain_grace: span("rules.drain-grace", raw.rules.drain_grace)?,
+            max_open: raw.caps.max_open.unwrap_or(usize::MAX),
+        };
+        let settings = Settings {
+            classes: raw.classes.into_iter().map(class).collect::<Result<_, _>>()?,
+            quotas: raw.projects.iter().map(|p| p.quota_per_s).collect(),
+            over_share_worth: raw.over_share_worth.unwrap_or(1.0),
+            instances: raw.n_instances,
+            me: raw.me,
+            tier: raw.tier,
+            zone,
+            cross_zone: raw.costs.cross_zone,
+            dear_connections: raw.costs.connection + raw.costs.handshake > 0.0,
+            probe_for_reports: raw.stats.how == "on_probe" && raw.caps.probing,
+            cancel: raw.caps.cancel,
+            second_copies: raw.caps.second_copies,
+            max_attempts: raw.caps.max_attempts,
+            max_retry_after: if raw.caps.retry_after { raw.caps.max_retry_after } else { 0.0 },
+            must_watch: raw.registry_mode == RegistryMode::Subscribe,
+            ask_within: raw.rules.ask_within,
+            cold_share: raw.rules.cold_share,
+            cold: raw.rules.cold,
+            fall_multiple: raw.rules.fall_multiple,
+            tip_after: raw.rules.tip_after,
+            settle: raw.rules.settle_after_doubt.unwrap_or(0.0),
+            release_within: raw.rules.release_within,
+            quantum: raw.quantum,
+        };
+        let sockets = file.limits.sockets;
+        Ok(Self { listen, discovery, seed, sockets, known: file.known, settings, wire })
+    }
+}
+
+fn class(raw: RawClass) -> Result<Class, ConfigError> {
+    let positive = |name: &str, value: Time| match value.is_finite() && value >= 0.0 {
+        true => Ok(value),
+        false => Err(bad(&format!("{} of class {}", name, raw.name), "a number not below 0", value)),
+    };
+    let absent = |name: &str| bad(&format!("{} of class {}", name, raw.name), "a value", "none");
+    Ok(Class {
+        aim: positive("on-time", raw.on_time)?,
+        deadline: positive("hard-limit", raw.hard_limit)?,
+        late_worth: raw.late_worth.unwrap_or(0.0),
+        worth: raw.worth.unwrap_or(1.0),
+        effect: match raw.effect {
+            RawEffect::Free => Effect::Safe,
+            RawEffect::SingleShot => Effect::Unsafe,
+            RawEffect::Guarded => Effect::Keyed {
+                group: match raw.group.ok_or_else(|| absent("group"))? {
+                    RawGroup::All => Group::All,
+                    RawGroup::Zone => Group::Zone,
+                    RawGroup::Cell => Group::Cell,
+                },
+                window: positive("window", raw.window.ok_or_else(|| absent("window"))?)?,
+            },
+        },
+        in_order: raw.fifo_by_key,
+    })
+}
--- /dev/null
+++ b/src/proxy/discovery.rs
@@ -0,0 +1,274 @@
+//! Discovery: the watch and fetch calls, and lists in the module's terms.
+
+use super::backend::{self, Peer};
+use super::config::WireSettings;
+use super::engine::{Clock, Engine};
+use crate::{BackendId, Entry, Status};
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::Request;
+use serde::Deserialize;
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use thiserror::Error;
+
+/// How long a watch call may wait for news.
+const WATCH: Duration = Duration::from_secs(20);
+/// How much longer than that an answer may take.
+const PATIENCE: Duration = Duration::from_secs(2);
+/// Bounds of the wait after a call that failed, where the module doesn't say when to ask again.
+const BACKOFF: [Duration; 2] = [Duration::from_millis(50), Duration::from_secs(1)];
+/// Largest list taken in.
+const MOST_BYTES: usize = 16 << 20;
+
+/// A list as discovery writes it.
+#[derive(Debug, Default, Deserialize)]
+pub struct RawList {
+    generation: u64,
+    reset: bool,
+    instances: Vec<RawEntry>,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct RawEntry {
+    instance_id: String,
+    host_port: SocketAddr,
+    #[serde(default)]
+    zone: String,
+    #[serde(default)]
+    cell: u32,
+    lifecycle: Lifecycle,
+    weight: Option<f64>,
+    #[serde(default)]
+    started_at_ms: f64,
+}
+
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(rename_all = "UPPERCASE")]
+enum Lifecycle {
+    Serving,
+    Draining,
+    Deleted,
+}
+
+/// News of the list, as the engine hands it to the module.
+#[derive(Debug)]
+pub enum News {
+    /// Entries that changed.
+    Changes(Vec<Listed>),
+    /// All entries.
+    Full(Vec<Listed>),
+    /// All entries, as last had before the start.
+    Remembered(Vec<Listed>),
+    /// A call failed.
+    Refused,
+}
+
+/// A backend of a list, and where it listens.
+#[derive(Debug)]
+pub struct Listed {
+    /// The module's part.
+    pub entry: Entry,
+    /// Its address.
+    pub address: SocketAddr,
+}
+
+#[derive(Debug, Error)]
+enum CallError {
+    #[error("no answer in time")]
+    Late,
+    #[error("cannot connect: {0}")]
+    Connect(std::io::Error),
+    #[error("{0}")]
+    Http(#[from] hyper::Error),
+    #[error("status {0}")]
+    Status(u16),
+    #[error("body: {0}")]
+    Body(Box<dyn std::error::Error + Send + Sync>),
+    #[error("list: {0}")]
+    Json(#[from] serde_json::Error),
+}
+
+/// The number of a zone, added if it is new.
+pub fn zone_index(zones: &mut Vec<String>, name: &str) -> u32 {
+    let known = zones.iter().position(|z| z == name);
+    known.unwrap_or_else(|| {
+        zones.push(name.to_string());
+        zones.len() - 1
+    }) as u32
+}
+
+/// Names of discovery in the module's terms.
+#[derive(Debug)]
+struct Translation {
+    zones: Vec<String>,
+    ids: HashMap<String, BackendId>,
+    taken: HashMap<BackendId, String>,
+}
+
+impl Translation {
+    /// A number for a backend's name, the same at every proxy: they share out the backends by it.
+    fn id(&mut self, name: &str) -> BackendId {
+        if let Some(&id) = self.ids.get(name) {
+            return id;
+        }
+        let hash = name.bytes().fold(0x811c_9dc5_u32, |h, b| (h ^ u32::from(b)).wrapping_mul(0x0100_0193));
+        let mut id = BackendId(hash);
+        while self.taken.contains_key(&id) {
+            id = BackendId(id.0.wrapping_add(1));
+        }
+        self.taken.insert(id, name.to_string());
+        self.ids.insert(name.to_string(), id);
+        id
+    }
+
+    fn list(&mut self, raw: Vec<RawEntry>, clock: &Clock) -> Vec<Listed> {
+        let listed = |raw: RawEntry| Listed {
+            entry: Entry {
+                id: self.id(&raw.instance_id),
+                cell: raw.cell,
+                zone: zone_index(&mut self.zones, &raw.zone),
+                weight: raw.weight.filter(|w| w.is_finite() && *w >= 0.0).unwrap_or(1.0),
+                status: match raw.lifecycle {
+                    Lifecycle::Serving => Status::InService,
+                    Lifecycle::Draining => Status::Draining,
+                    Lifecycle::Deleted => Status::Gone,
+                },
+                started: (raw.started_at_ms > 0.0).then(|| clock.of_unix(raw.started_at_ms / 1000.0)),
+            },
+            address: raw.host_port,
+        };
+        raw.into_iter().map(listed).collect()
+    }
+}
+
+/// Keeps the engine's list fresh.
+pub struct Discovery {
+    address: SocketAddr,
+    engine: Rc<Engine>,
+    names: RefCell<Translation>,
+    generation: Cell<u64>,
+    watching: Cell<bool>,
+    /// The module says when to call again after a failure.
+    asked: bool,
+}
+
+impl Discovery {
+    /// Hands the known list to the engine, and starts the watch where no one has to ask for it.
+    pub fn start(
+        address: SocketAddr,
+        known: RawList,
+        wire: &WireSettings,
+        must_watch: bool,
+        engine: Rc<Engine>,
+    ) -> Rc<Self> {
+        let zones = wire.zones.clone();
+        let names = Translation { zones, ids: HashMap::new(), taken: HashMap::new() };
+        let discovery = Rc::new(Self {
+            address,
+            names: RefCell::new(names),
+            generation: Cell::new(known.generation),
+            watching: Cell::new(false),
+            asked: must_watch,
+            engine,
+        });
+        discovery.engine.set_discovery(&discovery);
+        let listed = discovery.names.borrow_mut().list(known.instances, discovery.engine.clock());
+        discovery.engine.news(News::Remembered(listed));
+        if !must_watch {
+            discovery.watch(true);
+        }
+        discovery
+    }
+
+    /// Begins a watch, if none is on, or ends it.
+    pub fn watch(self: &Rc<Self>, on: bool) {
+        if on && !self.watching.replace(true) {
+            let this = self.clone();
+            tokio::task::spawn_local(async move { this.watch_loop().await });
+        } else if !on {
+            self.watching.set(false);
+        }
+    }
+
+    /// Asks for the whole list once.
+    pub fn fetch(self: &Rc<Self>) {
+        let this = self.clone();
+        tokio::task::spawn_local(async move {
+            let answer = this.call("/api/targets", PATIENCE, &mut None).await;
+            this.take(answer);
+        });
+    }
+
+    /// One call after another: a gap between them would end the watch. Where lists are pushed,
+    /// a call that failed is made again after a while; where they must be asked for, the module
+    /// is told and says when.
+    async fn watch_loop(self: Rc<Self>) {
+        let mut peer = None;
+        let mut backoff = BACKOFF[0];
+        while self.watching.get() {
+            let wait = WATCH.as_millis();
+            let path = format!("/api/targets?since={}&timeout_ms={wait}", self.generation.get());
+            let answer = self.call(&path, WATCH + PATIENCE, &mut peer).await;
+            if !self.watching.get() {
+                return;
+            }
+            let good = answer.is_ok();
+            if !good && self.asked {
+                self.watching.set(false);
+            }
+            self.take(answer);
+            if good {
+                backoff = BACKOFF[0];
+            } else {
+                tokio::time::sleep(backoff).await;
+                backoff = (2 * backoff).min(BACKOFF[1]);
+            }
+        }
+    }
+
+    /// Takes in an answer; the last list is kept if there is none that makes sense.
+    fn take(&self, answer: Result<RawList, CallError>) {
+        match answer {
+            Ok(list) => {
+                self.generation.set(list.generation);
+                let listed = self.names.borrow_mut().list(list.instances, self.engine.clock());
+                let news = if list.reset { News::Full(listed) } else { News::Changes(listed) };
+                self.engine.news(news);
+            }
+            Err(error) => {
+                eprintln!("discovery: {error}");
+                if self.asked {
+                    self.engine.news(News::Refused);
+                }
+            }
+        }
+    }
+
+    /// One call, on the connection kept from the last one if there is one.
+    async fn call(&self, path: &str, wait: Duration, kept: &mut Option<Peer>) -> Result<RawList, CallError> {
+        let called = tokio::time::timeout(wait, async {
+            let mut peer = match kept.take().and_then(Peer::checked) {
+                Some(peer) => peer,
+                None => backend::connect(self.address, PATIENCE).await.map_err(CallError::Connect)?,
+            };
+            let request = Request::get(path).header("host", self.address.to_string());
+            let Ok(request) = request.body(Full::new(Bytes::new())) else {
+                return Err(CallError::Status(0)); // a path of ours is always valid
+            };
+            let answer = peer.send(request).await.map_err(|e| e.into_error())?;
+            let (status, body) = (answer.status(), Limited::new(answer.into_body(), MOST_BYTES));
+            let body = peer.drive(body.collect()).await.ok_or(CallError::Late)?.map_err(CallError::Body)?;
+            if !status.is_success() {
+                return Err(CallError::Status(status.as_u16()));
+            }
+            *kept = peer.idle().await;
+            Ok(serde_json::from_slice(&body.to_bytes())?)
+        });
+        called.await.unwrap_or(Err(CallError::Late))
+    }
+}
--- /dev/null
+++ b/src/proxy/engine.rs
@@ -0,0 +1,488 @@
+//! The one place where the module meets the sockets: its clock, its timers, the open requests
+//! and their attempts. Events become calls of the module, its actions become I/O, and every
+//! request gets exactly one final answer.
+
+use super::backend::{self, Budget, Done, Endpoint, Served};
+use super::config::WireSettings;
+use super::discovery::{Discovery, Listed, News};
+use crate::{
+    Action, BackendId, Balancer, Ended, Entry, Event, ListUpdate, Outcome, Report, Request, RequestId,
+    Settings, Status, Time,
+};
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::header::{HeaderMap, HeaderValue};
+use hyper::{Method, Uri};
+use std::cell::{Cell, RefCell};
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, HashMap, VecDeque};
+use std::rc::{Rc, Weak};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use tokio::sync::{Notify, oneshot};
+use tokio::task::AbortHandle;
+
+/// Time kept for the way of an answer to the client, in seconds: the module's last word comes
+/// this long before the client gives up, and the engine's own, if there was none, at half of it.
+const ANSWER_WAY: Time = 0.006;
+/// Largest allowance for waiting in this process, in seconds.
+const MOST_LAG: Time = 0.1;
+/// Part of the grace of a drain after which a send that was decided before is not made.
+const GRACE_USED: f64 = 0.5;
+/// How often idle connections are looked through.
+const SWEEP: Duration = Duration::from_secs(1);
+
+/// The module's clock: seconds since the proxy started.
+#[derive(Clone, Copy, Debug)]
+pub struct Clock {
+    start: Instant,
+    unix: Time,
+}
+
+impl Clock {
+    /// A clock that starts now.
+    pub fn start() -> Self {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_secs_f64();
+        Self { start: Instant::now(), unix }
+    }
+
+    /// The time.
+    pub fn now(&self) -> Time {
+        self.start.elapsed().as_secs_f64()
+    }
+
+    /// A Unix time, in seconds. The same for the same input as long as the proxy runs.
+    pub fn of_unix(&self, unix: Time) -> Time {
+        unix - self.unix
+    }
+
+    fn at(&self, time: Time) -> tokio::time::Instant {
+        (self.start + Duration::try_from_secs_f64(time).unwrap_or_default()).into()
+    }
+}
+
+/// A request as it goes on to backends.
+#[derive(Debug)]
+pub struct Payload {
+    /// Its method.
+    pub method: Method,
+    /// Path and query.
+    pub uri: Uri,
+    /// The headers that go on.
+    pub headers: HeaderMap,
+    /// Its body.
+    pub body: Bytes,
+}
+
+impl Payload {
+    /// The request for an attempt that is given up after `wait` seconds.
+    pub fn request(&self, wait: Time) -> hyper::Request<Full<Bytes>> {
+        let mut request = hyper::Request::new(Full::new(self.body.clone()));
+        *request.method_mut() = self.method.clone();
+        *request.uri_mut() = self.uri.clone();
+        *request.headers_mut() = self.headers.clone();
+        let wait = HeaderValue::from((wait.max(0.0) * 1000.0) as u64);
+        request.headers_mut().insert("x-remaining-ms", wait);
+        request
+    }
+}
+
+/// The final answer to a request.
+pub enum Answer {
+    /// What a backend answered.
+    Served(Served),
+    /// Not done; trying again is harmless, after so long if that is said.
+    Refused(Option<Time>),
+    /// It may have been done.
+    Failed,
+}
+
+/// What falls due.
+#[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Due {
+    Token(u64),
+    Attempt(RequestId, usize),
+    Request(RequestId),
+}
+
+/// A point in time that can be sorted.
+#[derive(Debug, PartialEq)]
+struct At(Time);
+
+impl Eq for At {}
+
+impl PartialOrd for At {
+    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl Ord for At {
+    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
+        self.0.total_cmp(&other.0)
+    }
+}
+
+/// An event that owns what it tells.
+enum Told {
+    Event(Event<'static>),
+    List(News),
+}
+
+struct Open {
+    answer: oneshot::Sender<Answer>,
+    payload: Rc<Payload>,
+    until: Time,
+    attempts: usize,
+}
+
+struct Running {
+    backend: BackendId,
+    sent: Time,
+    written: Rc<Cell<bool>>,
+    task: AbortHandle,
+}
+
+struct State {
+    balancer: Balancer,
+    told: VecDeque<Told>,
+    timers: BinaryHeap<Reverse<(At, u64, Due)>>,
+    timers_set: u64,
+    open: HashMap<RequestId, Open>,
+    running: HashMap<(RequestId, usize), Running>,
+    endpoints: HashMap<BackendId, Rc<Endpoint>>,
+}
+
+/// Drives the module.
+pub struct Engine {
+    this: Weak<Engine>,
+    state: RefCell<State>,
+    clock: Clock,
+    timer_set: Notify,
+    /// How late timers have fired of late: as long may a request have waited to be read.
+    lag: Cell<Time>,
+    listed: Cell<bool>,
+    discovery: RefCell<Weak<Discovery>>,
+    budget: Rc<Budget>,
+    connect_timeout: Duration,
+    idle_close: Duration,
+    drain_grace: Time,
+    max_open: usize,
+    max_attempts: usize,
+    probe_path: &'static str,
+}
+
+impl Engine {
+    /// An engine with a module of its own, and its timers running. At most `connections` to
+    /// backends are open at once.
+    pub fn start(settings: Settings, wire: &WireSettings, seed: u64, connections: usize) -> Rc<Self> {
+        let clock = Clock::start();
+        let engine = Rc::new_cyclic(|this| Self {
+            this: this.clone(),
+            clock,
+            timer_set: Notify::new(),
+            lag: Cell::new(0.0),
+            listed: Cell::new(false),
+            discovery: RefCell::default(),
+            budget: Budget::new(connections),
+            connect_timeout: wire.connect_timeout,
+            idle_close: wire.idle_close,
+            drain_grace: wire.drain_grace.as_secs_f64(),
+            max_open: wire.max_open,
+            max_attempts: settings.max_attempts,
+            probe_path: if settings.probe_for_reports { "/-/load" } else { "/-/healthy" },
+            state: RefCell::new(State {
+                balancer: Balancer::new(clock.now(), seed, settings),
+                told: VecDeque::new(),
+                timers: BinaryHeap::new(),
+                timers_set: 0,
+                open: HashMap::new(),
+                running: HashMap::new(),
+                endpoints: HashMap::new(),
+            }),
+        });
+        tokio::task::spawn_local(engine.clone().run_timers());
+        tokio::task::spawn_local(engine.clone().sweep());
+        engine
+    }
+
+    /// The module's clock.
+    pub fn clock(&self) -> &Clock {
+        &self.clock
+    }
+
+    /// Whom to ask for the list.
+    pub fn set_discovery(&self, discovery: &Rc<Discovery>) {
+        *self.discovery.borrow_mut() = Rc::downgrade(discovery);
+    }
+
+    /// There is a list to go by.
+    pub fn listed(&self) -> bool {
+        self.listed.get()
+    }
+
+    /// Takes in a request that the client will wait for `request.budget` seconds for. The answer
+    /// comes to the receiver in that time. None if the id is in use.
+    pub fn request(&self, mut request: Request, payload: Payload) -> Option<oneshot::Receiver<Answer>> {
+        let (answer, receiver) = oneshot::channel();
+        let mut state = self.state.borrow_mut();
+        if state.open.len() >= self.max_open {
+            let _ = answer.send(Answer::Refused(None)); // the receiver is still here
+            return Some(receiver);
+        }
+        if state.open.contains_key(&request.id) {
+            return None;
+        }
+        let now = self.clock.now();
+        // The client has waited since it sent, so for as long as the request lay unread too.
+        request.budget -= self.lag.get();
+        let until = now + request.budget - 0.5 * ANSWER_WAY;
+        request.budget -= ANSWER_WAY;
+        let payload = Rc::new(payload);
+        state.open.insert(request.id, Open { answer, payload, until, attempts: 0 });
+        self.set_timer(&mut state, until, Due::Request(request.id));
+        state.told.push_back(Told::Event(Event::Request(request)));
+        self.decide(state);
+        Some(receiver)
+    }
+
+    /// The client has left. Nothing happens if the request has had its answer.
+    pub fn client_left(&self, id: RequestId) {
+        let mut state = self.state.borrow_mut();
+        if state.open.remove(&id).is_some() {
+            state.told.push_back(Told::Event(Event::ClientLeft(id)));
+            self.decide(state);
+        }
+    }
+
+    /// News of the list.
+    pub fn news(&self, news: News) {
+        let mut state = self.state.borrow_mut();
+        let now = self.clock.now();
+        let listed: &[Listed] = match &news {
+            News::Full(list) | News::Remembered(list) => {
+                let gone = |id: &BackendId| !list.iter().any(|l| l.entry.id == *id);
+                for (_, endpoint) in state.endpoints.iter().filter(|(id, _)| gone(id)) {
+                    endpoint.end(now + GRACE_USED * self.drain_grace);
+                }
+                list
+            }
+            News::Changes(list) => list,
+            News::Refused => &[],
+        };
+        for Listed { entry, address } in listed {
+            let drained = entry.status != Status::InService;
+            let last_send = drained.then_some(now + GRACE_USED * self.drain_grace);
+            let new = || {
+                let budget = self.budget.clone();
+                Rc::new(Endpoint::new(*address, budget, self.connect_timeout, self.idle_close))
+            };
+            state.endpoints.entry(entry.id).or_insert_with(new).update(*address, last_send);
+        }
+        self.listed.set(self.listed.get() || listed.iter().any(|l| l.entry.status == Status::InService));
+        state.told.push_back(Told::List(news));
+        self.decide(state);
+    }
+
+    /// An attempt has ended by itself.
+    fn attempt_done(&self, id: RequestId, attempt: usize, done: Done) {
+        let mut state = self.state.borrow_mut();
+        self.ended(&mut state, id, attempt, done);
+        self.decide(state);
+    }
+
+    /// Tells the module of the end of an attempt, once, and the client of the first answer.
+    fn ended(&self, state: &mut State, id: RequestId, attempt: usize, done: Done) {
+        let Some(running) = state.running.remove(&(id, attempt)) else {
+            return; // ended otherwise before
+        };
+        running.task.abort();
+        if let Some(served) = done.served
+            && let Some(open) = state.open.remove(&id)
+        {
+            let _ = open.answer.send(Answer::Served(served)); // if it has left, its guard tells
+        }
+        state.told.push_back(Told::Event(Event::Outcome(Ended {
+            id,
+            backend: running.backend,
+            attempt,
+            outcome: done.outcome,
+            took: self.clock.now() - running.sent,
+            over: !state.open.contains_key(&id),
+            report: done.report,
+        })));
+    }
+
+    fn probed(&self, backend: BackendId, outcome: Outcome, report: Option<Report>) {
+        let mut state = self.state.borrow_mut();
+        state.told.push_back(Told::Event(Event::Probed { backend, outcome, report }));
+        self.decide(state);
+    }
+
+    /// Lets the module decide on all that it has not been told yet.
+    fn decide(&self, mut state: std::cell::RefMut<'_, State>) {
+        let mut actions = Vec::new();
+        while let Some(told) = state.told.pop_front() {
+            let now = self.clock.now();
+            let entries = |list: Vec<Listed>| list.into_iter().map(|l| l.entry).collect::<Vec<Entry>>();
+            match told {
+                Told::Event(event) => state.balancer.handle(now, event, &mut actions),
+                Told::List(news) => {
+                    let list;
+                    let update = match news {
+                        News::Changes(l) => {
+                            list = entries(l);
+                            ListUpdate::Changes(&list)
+                        }
+                        News::Full(l) => {
+                            list = entries(l);
+                            ListUpdate::Full(&list)
+                        }
+                        News::Remembered(l) => {
+                            list = entries(l);
+                            ListUpdate::Remembered(&list)
+                        }
+                        News::Refused => ListUpdate::Refused,
+                    };
+                    state.balancer.handle(now, Event::List(update), &mut actions);
+                }
+            }
+            for action in actions.drain(..) {
+                self.act(&mut state, action, now);
+            }
+        }
+    }
+
+    fn act(&self, state: &mut State, action: Action, now: Time) {
+        match action {
+            Action::Send { id, backend, timeout } => self.send(state, id, backend, timeout, now),
+            Action::Cancel { id, attempt } => {
+                let done = Done { outcome: Outcome::Cancelled, served: None, report: None };
+                self.ended(state, id, attempt, done);
+            }
+            Action::Refuse { id, retry_after } => answer(state, id, Answer::Refused(retry_after)),
+            Action::Fail { id } => answer(state, id, Answer::Failed),
+            Action::Timer { at, token } => self.set_timer(state, at, Due::Token(token)),
+            Action::Probe(backend) => self.probe(state, backend),
+            Action::Release(backend) => {
+                state.endpoints.get(&backend).into_iter().for_each(|e| e.release());
+            }
+            Action::Watch(on) => self.discovery.borrow().upgrade().into_iter().for_each(|d| d.watch(on)),
+            Action::Fetch => self.discovery.borrow().upgrade().into_iter().for_each(|d| d.fetch()),
+            Action::Log(text) => eprintln!("{text}"),
+        }
+    }
+
+    fn send(&self, state: &mut State, id: RequestId, backend: BackendId, timeout: Time, now: Time) {
+        let endpoint = state.endpoints.get(&backend).cloned();
+        let most = self.max_attempts;
+        let open = state.open.get_mut(&id).filter(|open| open.attempts < most);
+        let (Some(open), Some(endpoint), Some(engine)) = (open, endpoint, self.this.upgrade()) else {
+            let attempt = state.open.get(&id).map_or(0, |open| open.attempts);
+            return state.told.push_back(Told::Event(Event::Outcome(Ended {
+                id,
+                backend,
+                attempt,
+                outcome: Outcome::NeverSent,
+                took: 0.0,
+                over: !state.open.contains_key(&id),
+                report: None,
+            })));
+        };
+        if self.budget.full() {
+            // Room for a connection that may be needed, at the cost of one that is not.
+            let _ = state.endpoints.values().any(|e| e.evict());
+        }
+        let attempt = open.attempts;
+        open.attempts += 1;
+        let until = if timeout == 0.0 { open.until } else { (now + timeout).min(open.until) };
+        let written = Rc::new(Cell::new(false));
+        let (payload, clock) = (open.payload.clone(), self.clock);
+        let attempted = backend::attempt(endpoint, payload, clock, until, written.clone());
+        let task = tokio::task::spawn_local(async move {
+            let done = attempted.await;
+            engine.attempt_done(id, attempt, done);
+        });
+        let task = task.abort_handle();
+        state.running.insert((id, attempt), Running { backend, sent: now, written, task });
+        self.set_timer(state, until, Due::Attempt(id, attempt));
+    }
+
+    fn probe(&self, state: &State, backend: BackendId) {
+        if let (Some(endpoint), Some(engine)) = (state.endpoints.get(&backend), self.this.upgrade()) {
+            let probed = backend::probe(endpoint.clone(), self.probe_path, self.clock);
+            tokio::task::spawn_local(async move {
+                let done = probed.await;
+                let body = done.served.as_ref().and_then(|s| backend::report(&s.body));
+                engine.probed(backend, done.outcome, done.report.or(body));
+            });
+        }
+    }
+
+    fn set_timer(&self, state: &mut State, at: Time, due: Due) {
+        let first = state.timers.peek().is_none_or(|Reverse((first, ..))| at < first.0);
+        state.timers_set += 1;
+        state.timers.push(Reverse((At(at), state.timers_set, due)));
+        if first {
+            self.timer_set.notify_one();
+        }
+    }
+
+    async fn run_timers(self: Rc<Self>) {
+        loop {
+            let next = self.state.borrow().timers.peek().map(|Reverse((at, ..))| self.clock.at(at.0));
+            match next {
+                None => self.timer_set.notified().await,
+                Some(next) => tokio::select! {
+                    _ = tokio::time::sleep_until(next) => self.fire(),
+                    _ = self.timer_set.notified() => {}
+                },
+            }
+        }
+    }
+
+    /// Hands out all that is due.
+    fn fire(&self) {
+        let now = self.clock.now();
+        let mut late: Time = 0.0;
+        loop {
+            let mut state = self.state.borrow_mut();
+            let due = state.timers.peek().is_some_and(|Reverse((at, ..))| at.0 <= now);
+            let Some(Reverse((at, _, due))) = due.then(|| state.timers.pop()).flatten() else {
+                break;
+            };
+            late = late.max(now - at.0);
+            match due {
+                Due::Token(token) => state.told.push_back(Told::Event(Event::Timer(token))),
+                Due::Attempt(id, attempt) => {
+                    let written = state.running.get(&(id, attempt)).is_some_and(|r| r.written.get());
+                    let outcome = if written { Outcome::Timeout } else { Outcome::NoConnection };
+                    self.ended(&mut state, id, attempt, Done { outcome, served: None, report: None });
+                }
+                // The module has not answered in time: the client must not be left without.
+                Due::Request(id) => {
+                    if state.open.contains_key(&id) {
+                        answer(&mut state, id, Answer::Failed);
+                        state.told.push_back(Told::Event(Event::ClientLeft(id)));
+                    }
+                }
+            }
+            self.decide(state);
+        }
+        self.lag.set(late.max(0.8 * self.lag.get()).min(MOST_LAG));
+    }
+
+    async fn sweep(self: Rc<Self>) {
+        loop {
+            tokio::time::sleep(SWEEP).await;
+            let endpoints: Vec<_> = self.state.borrow().endpoints.values().cloned().collect();
+            endpoints.iter().for_each(|e| e.sweep());
+        }
+    }
+}
+
+/// Gives a request its final answer, if it has had none.
+fn answer(state: &mut State, id: RequestId, answer: Answer) {
+    if let Some(open) = state.open.remove(&id) {
+        let _ = open.answer.send(answer); // if it has left, its guard tells
+    }
+}
