--- a/src/main.rs
+++ b/src/main.rs
@@ -16,11 +16,12 @@
 async fn run(config: Config) -> std::io::Result<()> {
     let mut stop = signal(SignalKind::terminate())?;
     let listener = server::bind(config.listen)?;
+    let address = listener.local_addr()?;
+    eprintln!("dewpier: listening on {address}");
     let each = config.sockets.saturating_sub(OWN_DESCRIPTORS).min(1024) / 5;
     let engine = Engine::start(config.settings.clone(), &config.wire, config.seed, 2 * each);
-    let must_watch = config.settings.must_watch;
     let _discovery =
-        Discovery::start(config.discovery, config.known, &config.wire, must_watch, engine.clone());
+        Discovery::start(config.discovery, config.known, &config.wire, &config.settings, engine.clone());
     let server = Server::new(engine, config.settings, config.wire, 2 * each);
     server.run(listener, async move { stop.recv().await.unwrap_or_default() }).await;
     Ok(())
--- a/src/proxy/discovery.rs
+++ b/src/proxy/discovery.rs
@@ -3,7 +3,7 @@
 use super::backend::{self, Peer};
 use super::config::WireSettings;
 use super::engine::{Clock, Engine};
-use crate::{BackendId, Entry, Status};
+use crate::{BackendId, Entry, Settings, Status};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::Request;
@@ -15,8 +15,8 @@
 use std::time::Duration;
 use thiserror::Error;
 
-/// How long a watch call may wait for news.
-const WATCH: Duration = Duration::from_secs(20);
+/// Longest wait for news that a watch call may ask for.
+const MOST_WATCH: Duration = Duration::from_secs(60);
 /// How much longer than that an answer may take.
 const PATIENCE: Duration = Duration::from_secs(2);
 /// Bounds of the wait after a call that failed, where the module doesn't say when to ask again.
@@ -153,6 +153,8 @@
     names: RefCell<Translation>,
     generation: Cell<u64>,
     watching: Cell<bool>,
+    /// How long a call waits for news: a discovery that has fallen silent shows after that.
+    wait: Duration,
     /// The module says when to call again after a failure.
     asked: bool,
 }
@@ -163,7 +165,7 @@
         address: SocketAddr,
         known: RawList,
         wire: &WireSettings,
-        must_watch: bool,
+        settings: &Settings,
         engine: Rc<Engine>,
     ) -> Rc<Self> {
         let zones = wire.zones.clone();
@@ -173,13 +175,14 @@
             names: RefCell::new(names),
             generation: Cell::new(known.generation),
             watching: Cell::new(false),
-            asked: must_watch,
+            wait: Duration::try_from_secs_f64(settings.ask_within).unwrap_or(MOST_WATCH).min(MOST_WATCH),
+            asked: settings.must_watch,
             engine,
         });
         discovery.engine.set_discovery(&discovery);
         let listed = discovery.names.borrow_mut().list(known.instances, discovery.engine.clock());
         discovery.engine.news(News::Remembered(listed));
-        if !must_watch {
+        if !settings.must_watch {
             discovery.watch(true);
         }
         discovery
@@ -211,15 +214,17 @@
         let mut peer = None;
         let mut backoff = BACKOFF[0];
         while self.watching.get() {
-            let wait = WATCH.as_millis();
-            let path = format!("/api/targets?since={}&timeout_ms={wait}", self.generation.get());
-            let answer = self.call(&path, WATCH + PATIENCE, &mut peer).await;
+            let (since, wait) = (self.generation.get(), self.wait.as_millis());
+            let path = format!("/api/targets?since={since}&timeout_ms={wait}");
+            let answer = self.call(&path, self.wait + PATIENCE, &mut peer).await;
             if !self.watching.get() {
                 return;
             }
             let good = answer.is_ok();
             if !good && self.asked {
+                // Over before the module is told: its next call begins a watch of its own.
                 self.watching.set(false);
+                return self.take(answer);
             }
             self.take(answer);
             if good {
--- a/src/proxy/server.rs
+++ b/src/proxy/server.rs
@@ -152,6 +152,7 @@
                 .serve_connection(TokioIo::new(stream), service);
             let mut connection = std::pin::pin!(connection);
             tokio::select! {
+                biased; // a request that has come is read before the connection is closed
                 _ = connection.as_mut() => return, // its end is no news: clients come and go
                 _ = closing.wait_for(|closing| *closing) => {}
             }
