Tests: let no starting process hold a closed connection open

Traced with strace: the proxy's epoll told of no end of the connection before the next request was written, and a probe of 2,000 closes saw each end at once, so that the end was never sent in time. At fault is the test: its cases start processes side by side, and one that is being started holds copies of all descriptors until it runs, a played backend's closed connection among them. Starts and closes now exclude each other.

The proxy was right.

--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -13,6 +13,9 @@
 /// Far beyond what any step takes, on a busy machine too.
 const LONG: Duration = Duration::from_secs(30);
 static NEXT: AtomicUsize = AtomicUsize::new(1);
+/// Held while a process is started or a connection closed: a process that is just being started
+/// holds copies of all descriptors, and a connection closed meanwhile would not end.
+static STARTING: Mutex<()> = Mutex::new(());
 
 /// A message as read: its first line, its headers in lower case, its body.
 #[derive(Clone, Debug, Default)]
@@ -117,7 +120,9 @@
             Play::Answer(text) => drop(stream.get_mut().write_all(text.as_bytes())),
             Play::AnswerAndClose(text, closed) => {
                 let _ = stream.get_mut().write_all(text.as_bytes());
+                let starting = STARTING.lock().unwrap();
                 drop(stream);
+                drop(starting);
                 let _ = closed.send(());
                 return;
             }
@@ -170,7 +175,7 @@
 
 impl Proxy {
     fn start(settings: &Value, known: &Value, discovery: SocketAddr) -> Self {
-        let mut child = command(&config(settings, known), discovery).stderr(Stdio::piped()).spawn().unwrap();
+        let mut child = spawn(command(&config(settings, known), discovery).stderr(Stdio::piped()));
         let mut log = BufReader::new(child.stderr.take().unwrap());
         let mut line = String::new();
         log.read_line(&mut line).unwrap();
@@ -195,12 +200,17 @@
         ask(&mut self.connect(), text)
     }
 
-    fn terminate(&self) {
+    fn signal(&self, name: &str) {
         let id = self.child.id().to_string();
-        assert!(Command::new("kill").args(["-TERM", &id]).status().unwrap().success());
+        assert!(spawn(Command::new("kill").args([name, &id])).wait().unwrap().success());
     }
 }
 
+fn spawn(command: &mut Command) -> Child {
+    let _starting = STARTING.lock().unwrap();
+    command.spawn().unwrap()
+}
+
 impl Drop for Proxy {
     fn drop(&mut self) {
         let _ = self.child.kill();
@@ -305,7 +315,8 @@
     lacking["rules"].as_object_mut().unwrap().remove("cold");
     let known = list(1, true, &[]);
     for text in ["{".to_string(), config(&lacking, &known)] {
-        let output = command(&text, quiet().address).output().unwrap();
+        let child = spawn(command(&text, quiet().address).stderr(Stdio::piped()));
+        let output = child.wait_with_output().unwrap();
         let told = String::from_utf8(output.stderr).unwrap();
         assert!(!output.status.success());
         assert!(told.starts_with("dewpier: ") && told.lines().count() == 1, "{told}");
@@ -341,6 +352,29 @@
     assert_eq!(backend.connections.load(Ordering::SeqCst), 5);
 }
 
+#[test]
+fn an_end_that_comes_along_with_the_answer_is_noticed() {
+    let (release, held) = channel::<()>();
+    let (closed, end) = channel();
+    let held = Mutex::new(held);
+    let backend = Played::new(move |_, _| {
+        held.lock().unwrap().recv_timeout(LONG).unwrap();
+        Play::AnswerAndClose(answer("200 OK", "hello"), closed.clone())
+    });
+    let proxy = Proxy::before(&[&backend]);
+    let mut client = proxy.connect();
+    client.get_mut().write_all(request("order", 20_000).as_bytes()).unwrap();
+    wait_for("attempt", || backend.count() == 1);
+    // The proxy gets to see the answer and the end at once.
+    proxy.signal("-STOP");
+    release.send(()).unwrap();
+    heard(&end);
+    proxy.signal("-CONT");
+    assert_eq!(read(&mut client).expect("an answer").status(), 200);
+    release.send(()).unwrap();
+    assert_eq!(ask(&mut client, &request("order", 20_000)).status(), 200);
+}
+
 #[test]
 fn a_connection_near_the_idle_limit_is_not_used_again() {
     let backend = Played::good("hello");
@@ -396,7 +430,7 @@
     let mut busy = proxy.connect();
     busy.get_mut().write_all(request("order", 20_000).as_bytes()).unwrap();
     wait_for("attempt", || backend.count() == 1);
-    proxy.terminate();
+    proxy.signal("-TERM");
     // Requests on old connections and on new ones are served on, and the connections then end.
     wait_for("stop", || proxy.ask("GET /-/ready HTTP/1.1\r\nHost: p\r\n\r\n").status() == 503);
     for stream in [&mut idle, &mut proxy.connect()] {
