A test that a failed watch is asked for again, and what remains

The call that failed is told to the module, which asks again; a whole list that then comes replaces the known one.

--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -480,3 +480,21 @@
     wait_for("list", || discovery.requests.lock().unwrap().iter().any(asked_for_more));
     assert_eq!(proxy.ask(&request("look", 20_000)).body, b"new");
 }
+
+#[test]
+fn where_the_list_must_be_asked_for_a_call_that_failed_is_made_again() {
+    let (old, new) = (Played::good("old"), Played::good("new"));
+    let all = list(7, true, &[entry("s-1", new.address, "SERVING")]).to_string();
+    let discovery = Played::new(move |before, _| match before {
+        0 | 1 => Play::Answer(answer("503 Service Unavailable", "")),
+        2 => Play::Answer(answer("200 OK", &all)),
+        _ => Play::Silence(channel().0),
+    });
+    let mut settings = settings();
+    settings["registry-mode"] = json!("subscribe");
+    settings["rules"]["ask-within"] = json!(1.0);
+    let proxy = Proxy::start(&settings, &known(&[&old]), discovery.address);
+    wait_for("further watch", || discovery.count() >= 4);
+    assert!(discovery.requests.lock().unwrap()[3].first.contains("since=7&timeout_ms=1000"));
+    assert_eq!(proxy.ask(&request("look", 20_000)).body, b"new");
+}
