Hold no answer up for its connection

Seen by reading: an attempt whose answer had come whole went on waiting until its connection was ready for another request, and a connection that never becomes ready would have turned a served request into a time-out (Peer::idle). It is now looked at once and dropped if it is not ready.

--- a/src/proxy/backend.rs
+++ b/src/proxy/backend.rs
@@ -59,13 +59,8 @@
         self.io.drive(self.sender.try_send_request(request)).await
     }
 
-    /// It, if it can carry another request.
-    pub async fn idle(mut self) -> Option<Self> {
-        let ready = self.io.drive(self.sender.ready()).await;
-        matches!(ready, Some(Ok(()))).then_some(self)?.checked()
-    }
-
-    /// It, if the other side has not closed it meanwhile.
+    /// It, if it can carry another request and the other side has not closed it meanwhile. Waits
+    /// for nothing: an answer that has come must not be held up by its connection.
     pub fn checked(mut self) -> Option<Self> {
         self.io.poll(&mut Context::from_waker(Waker::noop()));
         (!self.io.ended && self.sender.is_ready()).then_some(self)
@@ -301,7 +296,7 @@
         return Done::without_answer(Outcome::Reset);
     };
     let body = body.to_bytes();
-    if let Some(peer) = peer.idle().await
+    if let Some(peer) = peer.checked()
         && endpoint.era.get() == era
     {
         endpoint.idle.borrow_mut().push(Idle { peer, permit, since: Instant::now() });
--- a/src/proxy/discovery.rs
+++ b/src/proxy/discovery.rs
@@ -273,7 +273,7 @@
             if !status.is_success() {
                 return Err(CallError::Status(status.as_u16()));
             }
-            *kept = peer.idle().await;
+            *kept = peer.checked();
             Ok(serde_json::from_slice(&body.to_bytes())?)
         });
         called.await.unwrap_or(Err(CallError::Late))
