Tests: end played connections by shutdown

The lock did not exclude it all: a process being started lets its parent go on a moment before its copies of the descriptors are closed. A shutdown ends the connection whoever has a copy, and the lock is gone. Also the test that a connection is used again.

--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -6,7 +6,7 @@
 use gannetproxy::proxy::engine::{Clock, Payload};
 use serde_json::{Value, json};
 use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::mpsc::{Receiver, Sender, channel};
@@ -16,9 +16,6 @@
 /// Far beyond what any step takes, on a busy machine too.
 const LONG: Duration = Duration::from_secs(30);
 static NEXT: AtomicUsize = AtomicUsize::new(1);
-/// Held while a process is started or a connection closed: a process that is just being started
-/// holds copies of all descriptors, and a connection closed meanwhile would not end.
-static STARTING: Mutex<()> = Mutex::new(());
 
 /// A message as read: its first line, its headers in lower case, its body.
 #[derive(Clone, Debug, Default)]
@@ -123,13 +120,12 @@
             Play::Answer(text) => drop(stream.get_mut().write_all(text.as_bytes())),
             Play::AnswerAndClose(text, closed) => {
                 let _ = stream.get_mut().write_all(text.as_bytes());
-                let starting = STARTING.lock().unwrap();
-                drop(stream);
-                drop(starting);
+                // Not by dropping it: a process that is just being started has a copy.
+                stream.get_mut().shutdown(Shutdown::Both).unwrap();
                 let _ = closed.send(());
                 return;
             }
-            Play::Close => return,
+            Play::Close => return drop(stream.get_mut().shutdown(Shutdown::Both)),
             Play::Silence(ended) => {
                 let _ = stream.read(&mut [0]);
                 let _ = ended.send(());
@@ -178,7 +174,7 @@
 
 impl Proxy {
     fn start(settings: &Value, known: &Value, discovery: SocketAddr) -> Self {
-        let mut child = spawn(command(&config(settings, known), discovery).stderr(Stdio::piped()));
+        let mut child = command(&config(settings, known), discovery).stderr(Stdio::piped()).spawn().unwrap();
         let mut log = BufReader::new(child.stderr.take().unwrap());
         let mut line = String::new();
         log.read_line(&mut line).unwrap();
@@ -205,15 +201,10 @@
 
     fn signal(&self, name: &str) {
         let id = self.child.id().to_string();
-        assert!(spawn(Command::new("kill").args([name, &id])).wait().unwrap().success());
+        assert!(Command::new("kill").args([name, &id]).status().unwrap().success());
     }
 }
 
-fn spawn(command: &mut Command) -> Child {
-    let _starting = STARTING.lock().unwrap();
-    command.spawn().unwrap()
-}
-
 impl Drop for Proxy {
     fn drop(&mut self) {
         let _ = self.child.kill();
@@ -318,8 +309,7 @@
     lacking["rules"].as_object_mut().unwrap().remove("cold");
     let known = list(1, true, &[]);
     for text in ["{".to_string(), config(&lacking, &known)] {
-        let child = spawn(command(&text, quiet().address).stderr(Stdio::piped()));
-        let output = child.wait_with_output().unwrap();
+        let output = command(&text, quiet().address).output().unwrap();
         let told = String::from_utf8(output.stderr).unwrap();
         assert!(!output.status.success());
         assert!(told.starts_with("dewpier: ") && told.lines().count() == 1, "{told}");
@@ -355,6 +345,16 @@
     assert_eq!(backend.connections.load(Ordering::SeqCst), 5);
 }
 
+#[test]
+fn a_connection_is_used_again() {
+    let backend = Played::good("hello");
+    let proxy = Proxy::before(&[&backend]);
+    for _ in 0..20 {
+        assert_eq!(proxy.ask(&request("order", 9000)).status(), 200);
+    }
+    assert_eq!(backend.connections.load(Ordering::SeqCst), 1);
+}
+
 #[test]
 fn a_connection_near_the_idle_limit_is_not_used_again() {
     let backend = Played::good("hello");
