Clients that stay, say nothing or send nonsense; SIGHUP; requests numbered anew

The connections held stood at 82+10, the old limit of Server::accept, which never closed an idle one.

Now: proxy/clients.rs keeps the table; for want of room the connection longest without a request goes (2 s, or 0.5 s for one that never asked), and a request that is not whole 2.3 s after it began is answered 408 or its connection closed. A refused client's connection is closed after what it still sends has been read for a moment. proxy/request.rs checks a request: 411 for every Transfer-Encoding (hyper 1.12 drops Content-Length where both are given, Server::parse), bodies over 64 KiB refused unread, the method against the class, double headers, deadlines bounded by the class. The caps follow from both limits (proxy/limits.rs). The engine numbers requests itself: `running` was keyed by the client's id, which may come again while an attempt is out. SIGHUP reads the file again and moves the watch to the discovery named there, from the whole list on.

--- a/src/main.rs
+++ b/src/main.rs
@@ -1,42 +1,59 @@
-//! The real proxy: starts it, and stops it on SIGTERM.
+//! The real proxy: starts it, has it read its configuration again on SIGHUP, stops it on SIGTERM.
 
 #![forbid(unsafe_code)]
 
-use gannetproxy::proxy::config::Config;
+use gannetproxy::proxy::config::{Config, ConfigError, Wins};
 use gannetproxy::proxy::discovery::Discovery;
 use gannetproxy::proxy::engine::Engine;
+use gannetproxy::proxy::limits::Caps;
 use gannetproxy::proxy::server::{self, Server};
 use std::process::ExitCode;
+use thiserror::Error;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::task::LocalSet;
 
-/// Descriptors kept for what is neither a client nor a backend.
-const OWN_DESCRIPTORS: usize = 48;
+#[derive(Debug, Error)]
+enum StartError {
+    #[error("{0}")]
+    Config(#[from] ConfigError),
+    #[error("{0}")]
+    Io(#[from] std::io::Error),
+}
 
-async fn run(config: Config) -> std::io::Result<()> {
+async fn run() -> Result<(), StartError> {
+    // The handlers come first: a signal that finds none ends the program.
+    let mut reload = signal(SignalKind::hangup())?;
     let mut stop = signal(SignalKind::terminate())?;
+    let config = Config::from_env(Wins::Environment)?;
     let listener = server::bind(config.listen)?;
     let address = listener.local_addr()?;
     eprintln!("dewpier: listening on {address}");
-    let each = config.sockets.saturating_sub(OWN_DESCRIPTORS).min(1024) / 5;
-    let engine = Engine::start(config.settings.clone(), &config.wire, config.seed, 2 * each);
-    let _discovery =
+    let caps = Caps::new(config.sockets, config.memory);
+    let engine = Engine::start(config.settings.clone(), &config.wire, config.seed, caps.backends);
+    let discovery =
         Discovery::start(config.discovery, config.known, &config.wire, &config.settings, engine.clone());
-    let server = Server::new(engine, config.settings, config.wire, 2 * each);
-    server.run(listener, async move { stop.recv().await.unwrap_or_default() }).await;
+    let reloading = async move {
+        while reload.recv().await.is_some() {
+            // What can't be used changes nothing.
+            match Config::from_env(Wins::File) {
+                Ok(config) => discovery.move_to(config.discovery),
+                Err(error) => eprintln!("dewpier: not reloaded: {error}"),
+            }
+        }
+        std::future::pending().await
+    };
+    let server = Server::new(engine, config.settings, config.wire, caps);
+    tokio::select! {
+        () = server.run(listener, async move { stop.recv().await.unwrap_or_default() }) => {}
+        () = reloading => {}
+    }
     Ok(())
 }
 
 fn main() -> ExitCode {
-    let config = match Config::from_env() {
-        Ok(config) => config,
-        Err(error) => {
-            eprintln!("dewpier: {error}");
-            return ExitCode::FAILURE;
-        }
-    };
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-    match runtime.and_then(|runtime| LocalSet::new().block_on(&runtime, run(config))) {
+    let ran = runtime.map_err(StartError::from);
+    match ran.and_then(|runtime| LocalSet::new().block_on(&runtime, run())) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("dewpier: {error}");
--- a/src/proxy/backend.rs
+++ b/src/proxy/backend.rs
@@ -1,6 +1,7 @@
 //! Connections to backends, attempts and probes on them, and the exact outcome of each.
 
 use super::engine::{Clock, Payload};
+use super::limits::{Budget, MOST_BODY, Permit};
 use crate::{Outcome, Report, Time};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
@@ -20,8 +21,6 @@
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 
-/// Largest body, of a request or an answer.
-pub const MOST_BODY: usize = 64 << 10;
 /// Part of the idle limit of backends up to which a connection is used again: one that is used
 /// close to the limit crosses the backend's closing, and the request on it is lost.
 const REUSE_WITHIN: f64 = 0.7;
@@ -88,40 +87,6 @@
     }
 }
 
-/// How many connections to backends may be open, all together.
-pub struct Budget {
-    open: Cell<usize>,
-    most: usize,
-}
-
-/// A connection's part of the budget.
-struct Permit(Rc<Budget>);
-
-impl Budget {
-    /// Room for so many.
-    pub fn new(most: usize) -> Rc<Self> {
-        Rc::new(Self { open: Cell::new(0), most })
-    }
-
-    /// There is room for none.
-    pub fn full(&self) -> bool {
-        self.open.get() >= self.most
-    }
-
-    fn take(self: &Rc<Self>) -> Option<Permit> {
-        (!self.full()).then(|| {
-            self.open.set(self.open.get() + 1);
-            Permit(self.clone())
-        })
-    }
-}
-
-impl Drop for Permit {
-    fn drop(&mut self) {
-        self.0.open.set(self.0.open.get() - 1);
-    }
-}
-
 struct Idle {
     peer: Peer,
     permit: Permit,
@@ -212,7 +177,7 @@
                 return Some((peer, permit));
             }
         }
-        let permit = self.budget.take()?;
+        let permit = self.budget.take(1)?;
         let peer = connect(self.address.get(), self.connect_timeout).await.ok()?;
         Some((peer, permit))
     }
--- /dev/null
+++ b/src/proxy/clients.rs
@@ -0,0 +1,259 @@
+//! The connections of clients: what each one is at, which have outstayed their time, and which
+//! goes when there is no room.
+
+use std::cell::{Cell, RefCell};
+use std::io;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll, ready};
+use std::time::Duration;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+use tokio::sync::Notify;
+use tokio::time::{Instant, Sleep};
+
+/// A request that has begun must have come whole within this, and so must the first one of a
+/// connection: guards against clients that say nothing, stop half way, or never come to an end.
+pub const READ_WITHIN: Duration = Duration::from_millis(2300);
+/// A connection without an open request is kept for so long while there is room.
+const KEEP: Duration = Duration::from_secs(75);
+/// For want of room, one that has been without an open request for so long is closed,
+const IDLE_ENOUGH: Duration = Duration::from_secs(2);
+/// and failing such, one that has never asked for anything and is older than this.
+const MUTE_ENOUGH: Duration = Duration::from_millis(500);
+/// Part of the room that is for connections which only get a refusal, as all others are at work.
+const OVERFLOW: usize = 8;
+/// How often connections that have outstayed their time are looked for.
+pub const STEP: Duration = Duration::from_millis(100);
+/// After the end of our side, what the client still sends is read for so long,
+const LINGER: Duration = Duration::from_millis(300);
+/// and up to so much, lest its system throw away the answer along with the connection.
+const MOST_DISCARDED: usize = 512 << 10;
+
+/// A client's connection.
+pub struct Client {
+    /// A whole request has come, and its answer has not been given.
+    open: Cell<bool>,
+    /// It has asked for something.
+    asked: Cell<bool>,
+    /// The last end of an open request, at first the connection's start.
+    since: Cell<Instant>,
+    /// When the request that is being read began.
+    begun: Cell<Option<Instant>>,
+    /// Something came while a request was open.
+    early: Cell<bool>,
+    /// It is being closed for want of room, or has outstayed its time.
+    ending: Cell<bool>,
+    end: Notify,
+}
+
+impl Client {
+    /// When the request that is being read must have come whole.
+    pub fn read_until(&self) -> Instant {
+        self.begun.get().unwrap_or_else(Instant::now) + READ_WITHIN
+    }
+
+    /// A whole request has come.
+    pub fn opened(&self) {
+        self.open.set(true);
+        self.asked.set(true);
+        self.begun.set(None);
+    }
+
+    /// There is an answer to what has come.
+    pub fn answered(&self) {
+        let now = Instant::now();
+        self.open.set(false);
+        self.since.set(now);
+        self.begun.set(self.early.take().then_some(now));
+    }
+
+    /// Waits until it is to be closed. A request that has come at the last moment goes before.
+    pub async fn ended(&self) {
+        loop {
+            self.end.notified().await;
+            if !self.open.get() {
+                return;
+            }
+            self.ending.set(false);
+        }
+    }
+
+    fn heard(&self) {
+        if self.open.get() {
+            self.early.set(true);
+        } else if self.begun.get().is_none() {
+            self.begun.set(Some(Instant::now()));
+        }
+    }
+
+    fn overdue(&self) -> bool {
+        // A body that does not come is answered by its reader; this is for all else.
+        let unread = self.begun.get().is_some_and(|begun| begun.elapsed() > READ_WITHIN + STEP);
+        !self.open.get() && (unread || self.since.get().elapsed() > KEEP)
+    }
+
+    fn close(&self) {
+        self.ending.set(true);
+        self.end.notify_one();
+    }
+}
+
+/// All connections of clients.
+pub struct Clients {
+    all: RefCell<Vec<Rc<Client>>>,
+    most: usize,
+    over: usize,
+    left: Notify,
+}
+
+/// A connection's place in the table, given up when it is dropped.
+pub struct Place {
+    clients: Rc<Clients>,
+    client: Rc<Client>,
+}
+
+impl Place {
+    /// The connection.
+    pub fn client(&self) -> &Rc<Client> {
+        &self.client
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        self.clients.all.borrow_mut().retain(|c| !Rc::ptr_eq(c, &self.client));
+        self.clients.left.notify_one();
+    }
+}
+
+impl Clients {
+    /// Room for so many.
+    pub fn new(most: usize) -> Rc<Self> {
+        let over = most / OVERFLOW;
+        Rc::new(Self { all: RefCell::default(), most: most - over, over, left: Notify::new() })
+    }
+
+    /// There are none.
+    pub fn is_empty(&self) -> bool {
+        self.all.borrow().is_empty()
+    }
+
+    /// There are more than there is room for.
+    pub fn full(&self) -> bool {
+        self.all.borrow().len() > self.most
+    }
+
+    /// There is no room for those to be refused either.
+    pub fn crowded(&self) -> bool {
+        self.all.borrow().len() >= self.most + self.over
+    }
+
+    /// Takes in a connection.
+    pub fn admit(self: &Rc<Self>) -> Place {
+        let now = Instant::now();
+        let client = Rc::new(Client {
+            open: Cell::new(false),
+            asked: Cell::new(false),
+            since: Cell::new(now),
+            begun: Cell::new(Some(now)),
+            early: Cell::new(false),
+            ending: Cell::new(false),
+            end: Notify::new(),
+        });
+        self.all.borrow_mut().push(client.clone());
+        Place { clients: self.clone(), client }
+    }
+
+    /// Waits for a connection to end, for a while.
+    pub async fn one_left(&self, within: Duration) {
+        let _ = tokio::time::timeout(within, self.left.notified()).await;
+    }
+
+    /// Makes room for one more, at the cost of the connection that has been without a request
+    /// longest: guards against those that stay for good and keep others out. Tells whether there
+    /// is room, or will be at once.
+    pub fn make_room(&self) -> bool {
+        let all = self.all.borrow();
+        let ending = all.iter().filter(|c| c.ending.get()).count();
+        if all.len() < self.most + ending {
+            return true;
+        }
+        let longest = |enough: &dyn Fn(&Client) -> bool| {
+            let closable = all.iter().filter(|c| !c.open.get() && !c.ending.get() && enough(c));
+            closable.min_by_key(|c| c.since.get()).cloned()
+        };
+        let idle = longest(&|c| c.since.get().elapsed() >= IDLE_ENOUGH);
+        let mute = || longest(&|c| !c.asked.get() && c.since.get().elapsed() >= MUTE_ENOUGH);
+        idle.or_else(mute).inspect(|c| c.close()).is_some()
+    }
+
+    /// Closes connections that have outstayed their time.
+    pub fn sweep(&self) {
+        let all = self.all.borrow();
+        all.iter().filter(|c| !c.ending.get() && c.overdue()).for_each(|c| c.close());
+    }
+}
+
+/// A client's socket, which notes what comes, and ends so that the last answer arrives.
+pub struct Socket {
+    stream: TcpStream,
+    client: Rc<Client>,
+    linger: Option<Pin<Box<Sleep>>>,
+    discarded: usize,
+}
+
+impl Socket {
+    /// The socket of a connection.
+    pub fn new(stream: TcpStream, client: Rc<Client>) -> Self {
+        Self { stream, client, linger: None, discarded: 0 }
+    }
+}
+
+impl AsyncRead for Socket {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buffer.filled().len();
+        let read = Pin::new(&mut self.stream).poll_read(cx, buffer);
+        if buffer.filled().len() > before {
+            self.client.heard();
+        }
+        read
+    }
+}
+
+impl AsyncWrite for Socket {
+    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, data: &[u8]) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(cx, data)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        if self.linger.is_none() {
+            ready!(Pin::new(&mut self.stream).poll_shutdown(cx))?;
+            self.linger = Some(Box::pin(tokio::time::sleep(LINGER)));
+        }
+        // Closing a socket with something unread resets it, and the answer may never be seen.
+        while !self.client.ending.get() && self.discarded < MOST_DISCARDED {
+            let mut space = [0; 4096];
+            let mut buffer = ReadBuf::new(&mut space);
+            match Pin::new(&mut self.stream).poll_read(cx, &mut buffer) {
+                Poll::Ready(Ok(())) if !buffer.filled().is_empty() => {
+                    self.discarded += buffer.filled().len();
+                }
+                Poll::Ready(_) => return Poll::Ready(Ok(())),
+                Poll::Pending => {
+                    let passed = self.linger.as_mut().map(|linger| linger.as_mut().poll(cx));
+                    return passed.unwrap_or(Poll::Ready(())).map(Ok);
+                }
+            }
+        }
+        Poll::Ready(Ok(()))
+    }
+}
--- a/src/proxy/config.rs
+++ b/src/proxy/config.rs
@@ -52,6 +52,8 @@
     pub seed: u64,
     /// File descriptors that the process may hold.
     pub sockets: usize,
+    /// Bytes of memory that the process may use.
+    pub memory: usize,
     /// The list of backends as last had.
     pub known: RawList,
     /// What the module is told.
@@ -93,6 +95,8 @@
 #[derive(Deserialize)]
 struct Limits {
     sockets: usize,
+    #[serde(default = "most_memory_mb")]
+    memory_mb: f64,
 }
 
 #[derive(Deserialize)]
@@ -209,6 +213,11 @@
     how: String,
 }
 
+/// What is planned with where no limit is told.
+fn most_memory_mb() -> f64 {
+    192.0
+}
+
 fn bad(name: &str, expected: &'static str, got: impl ToString) -> ConfigError {
     ConfigError::Value { name: name.to_string(), expected, got: got.to_string() }
 }
@@ -218,9 +227,18 @@
     Duration::try_from_secs_f64(seconds).map_err(|_| bad(name, "seconds, not below 0", seconds))
 }
 
+/// Which word on where discovery is holds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Wins {
+    /// The environment's, as at the start.
+    Environment,
+    /// The file's: it may have been replaced since, and the environment cannot.
+    File,
+}
+
 impl Config {
     /// Reads the environment and the file that it names.
-    pub fn from_env() -> Result<Self, ConfigError> {
+    pub fn from_env(wins: Wins) -> Result<Self, ConfigError> {
         let var = |name: &'static str| std::env::var(name).map_err(|_| ConfigError::Unset(name));
         let path = var("RELAY_CONFIG")?;
         let text = std::fs::read_to_string(&path)
@@ -231,7 +249,12 @@
             text.parse::<SocketAddr>().map_err(|_| bad(name, "address:port", text))
         };
         let listen = address("RELAY_LISTEN", &file.listen)?;
-        let discovery = address("RELAY_DISCOVERY", &file.discovery)?;
+        let discovery = match (wins, &file.discovery) {
+            (Wins::File, Some(text)) => {
+                text.parse().map_err(|_| bad("discovery", "address:port", text.as_str()))?
+            }
+            _ => address("RELAY_DISCOVERY", &file.discovery)?,
+        };
         Self::from_file(file, listen, discovery)
     }
 
@@ -274,8 +297,8 @@
             release_within: raw.rules.release_within,
             quantum: raw.quantum,
         };
-        let sockets = file.limits.sockets;
-        Ok(Self { listen, discovery, seed, sockets, known: file.known, settings, wire })
+        let (sockets, memory) = (file.limits.sockets, (file.limits.memory_mb * f64::from(1 << 20)) as usize);
+        Ok(Self { listen, discovery, seed, sockets, memory, known: file.known, settings, wire })
     }
 }
 
--- a/src/proxy/discovery.rs
+++ b/src/proxy/discovery.rs
@@ -14,6 +14,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use thiserror::Error;
+use tokio::task::AbortHandle;
 
 /// Longest wait for news that a watch call may ask for.
 const MOST_WATCH: Duration = Duration::from_secs(60);
@@ -150,11 +151,14 @@
 
 /// Keeps the engine's list fresh.
 pub struct Discovery {
-    address: SocketAddr,
+    address: Cell<SocketAddr>,
     engine: Rc<Engine>,
     names: RefCell<Translation>,
-    generation: Cell<u64>,
-    watching: Cell<bool>,
+    /// The version of the list that was last had from this address, if any was.
+    generation: Cell<Option<u64>>,
+    watch: RefCell<Option<AbortHandle>>,
+    /// Goes up when the address changes: what the old one still says is not taken in.
+    era: Cell<u64>,
     /// How long a call waits for news: a discovery that has fallen silent shows after that.
     wait: Duration,
     /// The module says when to call again after a failure.
@@ -173,10 +177,11 @@
         let zones = wire.zones.clone();
         let names = Translation { zones, ids: HashMap::new(), taken: HashMap::new() };
         let discovery = Rc::new(Self {
-            address,
+            address: Cell::new(address),
             names: RefCell::new(names),
-            generation: Cell::new(known.generation),
-            watching: Cell::new(false),
+            generation: Cell::new(Some(known.generation)),
+            watch: RefCell::default(),
+            era: Cell::new(0),
             wait: Duration::try_from_secs_f64(settings.ask_within).unwrap_or(MOST_WATCH).min(MOST_WATCH),
             asked: settings.must_watch,
             engine,
@@ -190,13 +195,24 @@
         discovery
     }
 
+    /// Goes over to the discovery at `address`. Its versions are its own, so that the whole list
+    /// is asked for at once; until it comes, the last one holds.
+    pub fn move_to(self: &Rc<Self>, address: SocketAddr) {
+        eprintln!("discovery: now at {address}");
+        self.watch(false);
+        self.address.set(address);
+        self.generation.set(None);
+        self.era.set(self.era.get() + 1);
+        self.watch(true);
+    }
+
     /// Begins a watch, if none is on, or ends it.
     pub fn watch(self: &Rc<Self>, on: bool) {
-        if on && !self.watching.replace(true) {
-            let this = self.clone();
-            tokio::task::spawn_local(async move { this.watch_loop().await });
-        } else if !on {
-            self.watching.set(false);
+        let mut watch = self.watch.borrow_mut();
+        if !on {
+            watch.take().into_iter().for_each(|w| w.abort());
+        } else if watch.is_none() {
+            *watch = Some(tokio::task::spawn_local(self.clone().watch_loop()).abort_handle());
         }
     }
 
@@ -204,8 +220,11 @@
     pub fn fetch(self: &Rc<Self>) {
         let this = self.clone();
         tokio::task::spawn_local(async move {
+            let era = this.era.get();
             let answer = this.call("/api/targets", PATIENCE, &mut None).await;
-            this.take(answer);
+            if this.era.get() == era {
+                this.take(answer);
+            }
         });
     }
 
@@ -215,17 +234,19 @@
     async fn watch_loop(self: Rc<Self>) {
         let mut peer = None;
         let mut backoff = BACKOFF[0];
-        while self.watching.get() {
-            let (since, wait) = (self.generation.get(), self.wait.as_millis());
-            let path = format!("/api/targets?since={since}&timeout_ms={wait}");
-            let answer = self.call(&path, self.wait + PATIENCE, &mut peer).await;
-            if !self.watching.get() {
-                return;
-            }
+        loop {
+            let answer = match self.generation.get() {
+                Some(since) => {
+                    let wait = self.wait.as_millis();
+                    let path = format!("/api/targets?since={since}&timeout_ms={wait}");
+                    self.call(&path, self.wait + PATIENCE, &mut peer).await
+                }
+                None => self.call("/api/targets", PATIENCE, &mut peer).await,
+            };
             let good = answer.is_ok();
             if !good && self.asked {
                 // Over before the module is told: its next call begins a watch of its own.
-                self.watching.set(false);
+                *self.watch.borrow_mut() = None;
                 return self.take(answer);
             }
             self.take(answer);
@@ -242,7 +263,7 @@
     fn take(&self, answer: Result<RawList, CallError>) {
         match answer {
             Ok(list) => {
-                self.generation.set(list.generation);
+                self.generation.set(Some(list.generation));
                 let listed = self.names.borrow_mut().list(list.instances, self.engine.clock());
                 let news = if list.reset { News::Full(listed) } else { News::Changes(listed) };
                 self.engine.news(news);
@@ -261,9 +282,9 @@
         let called = tokio::time::timeout(wait, async {
             let mut peer = match kept.take().and_then(Peer::checked) {
                 Some(peer) => peer,
-                None => backend::connect(self.address, PATIENCE).await.map_err(CallError::Connect)?,
+                None => backend::connect(self.address.get(), PATIENCE).await.map_err(CallError::Connect)?,
             };
-            let request = Request::get(path).header("host", self.address.to_string());
+            let request = Request::get(path).header("host", self.address.get().to_string());
             let Ok(request) = request.body(Full::new(Bytes::new())) else {
                 return Err(CallError::Status(0)); // a path of ours is always valid
             };
--- a/src/proxy/engine.rs
+++ b/src/proxy/engine.rs
@@ -2,9 +2,10 @@
 //! and their attempts. Events become calls of the module, its actions become I/O, and every
 //! request gets exactly one final answer.
 
-use super::backend::{self, Budget, Done, Endpoint, Served};
+use super::backend::{self, Done, Endpoint, Served};
 use super::config::WireSettings;
 use super::discovery::{Discovery, Listed, News};
+use super::limits::Budget;
 use crate::{
     Action, BackendId, Balancer, Ended, Entry, Event, ListUpdate, Outcome, Report, Request, RequestId,
     Settings, Status, Time,
@@ -15,7 +16,7 @@
 use hyper::{Method, Uri};
 use std::cell::{Cell, RefCell};
 use std::cmp::Reverse;
-use std::collections::{BinaryHeap, HashMap, VecDeque};
+use std::collections::{BinaryHeap, HashMap, HashSet, VecDeque};
 use std::rc::{Rc, Weak};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use tokio::sync::{Notify, oneshot};
@@ -129,6 +130,8 @@
 }
 
 struct Open {
+    /// The id that the client gave it.
+    txn: u64,
     answer: oneshot::Sender<Answer>,
     payload: Rc<Payload>,
     until: Time,
@@ -147,7 +150,12 @@
     told: VecDeque<Told>,
     timers: BinaryHeap<Reverse<(At, u64, Due)>>,
     timers_set: u64,
+    /// Requests without a final answer, by a number that is never used twice: the ids of clients
+    /// may come again, while an attempt of an answered request of that id is still out.
     open: HashMap<RequestId, Open>,
+    /// The clients' ids of those.
+    in_use: HashSet<u64>,
+    requests: u64,
     running: HashMap<(RequestId, usize), Running>,
     endpoints: HashMap<BackendId, Rc<Endpoint>>,
 }
@@ -196,6 +204,8 @@
                 timers: BinaryHeap::new(),
                 timers_set: 0,
                 open: HashMap::new(),
+                in_use: HashSet::new(),
+                requests: 0,
                 running: HashMap::new(),
                 endpoints: HashMap::new(),
             }),
@@ -225,35 +235,44 @@
         !self.state.borrow().open.is_empty()
     }
 
-    /// Takes in a request that the client will wait for `request.budget` seconds for. The answer
-    /// comes to the receiver in that time. None if the id is in use.
-    pub fn request(&self, mut request: Request, payload: Payload) -> Option<oneshot::Receiver<Answer>> {
+    /// Takes in a request, named `txn` by its client, which will wait for `request.budget` seconds.
+    /// The answer comes to the receiver in that time. None if the name is in use.
+    pub fn request(
+        &self,
+        txn: u64,
+        mut request: Request,
+        payload: Payload,
+    ) -> Option<(RequestId, oneshot::Receiver<Answer>)> {
         let (answer, receiver) = oneshot::channel();
         let mut state = self.state.borrow_mut();
+        if state.in_use.contains(&txn) {
+            return None;
+        }
+        state.requests += 1;
+        request.id = RequestId(state.requests);
         if state.open.len() >= self.max_open {
             let _ = answer.send(Answer::Refused(None)); // the receiver is still here
-            return Some(receiver);
-        }
-        if state.open.contains_key(&request.id) {
-            return None;
+            return Some((request.id, receiver));
         }
+        state.in_use.insert(txn);
         let now = self.clock.now();
         // The client has waited since it sent, so for as long as the request lay unread too.
         request.budget -= self.lag.get();
         let until = now + request.budget - 0.5 * ANSWER_WAY;
         request.budget -= ANSWER_WAY;
         let payload = Rc::new(payload);
-        state.open.insert(request.id, Open { answer, payload, until, attempts: 0 });
+        state.open.insert(request.id, Open { txn, answer, payload, until, attempts: 0 });
         self.set_timer(&mut state, until, Due::Request(request.id));
         state.told.push_back(Told::Event(Event::Request(request)));
+        let id = request.id;
         self.decide(state);
-        Some(receiver)
+        Some((id, receiver))
     }
 
     /// The client has left. Nothing happens if the request has had its answer.
     pub fn client_left(&self, id: RequestId) {
         let mut state = self.state.borrow_mut();
-        if state.open.remove(&id).is_some() {
+        if close(&mut state, id).is_some() {
             state.told.push_back(Told::Event(Event::ClientLeft(id)));
             self.decide(state);
         }
@@ -302,7 +321,7 @@
         };
         running.task.abort();
         if let Some(served) = done.served
-            && let Some(open) = state.open.remove(&id)
+            && let Some(open) = close(state, id)
         {
             let _ = open.answer.send(Answer::Served(served)); // if it has left, its guard tells
         }
@@ -485,9 +504,16 @@
     }
 }
 
+/// Takes out a request that has its final answer or wants none.
+fn close(state: &mut State, id: RequestId) -> Option<Open> {
+    let open = state.open.remove(&id)?;
+    state.in_use.remove(&open.txn);
+    Some(open)
+}
+
 /// Gives a request its final answer, if it has had none.
 fn answer(state: &mut State, id: RequestId, answer: Answer) {
-    if let Some(open) = state.open.remove(&id) {
+    if let Some(open) = close(state, id) {
         let _ = open.answer.send(answer); // if it has left, its guard tells
     }
 }
--- /dev/null
+++ b/src/proxy/limits.rs
@@ -0,0 +1,78 @@
+//! What the process may use at once, from the limits it is told: connections and memory.
+
+use std::cell::Cell;
+use std::rc::Rc;
+
+/// Largest body, of a request or an answer.
+pub const MOST_BODY: usize = 64 << 10;
+/// Largest head of a request or an answer.
+pub const MOST_HEAD: usize = 16 << 10;
+/// Descriptors kept for what is neither a client nor a backend.
+const OWN_DESCRIPTORS: usize = 24;
+/// More descriptors than that are not planned with.
+const MOST_DESCRIPTORS: usize = 16 << 10;
+/// Part of the memory that clients' heads, their bodies, and backends' answers may each take.
+const PART: usize = 4;
+
+/// The bounds that connections and bodies are held to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Caps {
+    /// Connections from clients.
+    pub clients: usize,
+    /// Connections to backends.
+    pub backends: usize,
+    /// Bytes of requests' bodies held at once.
+    pub bodies: usize,
+}
+
+impl Caps {
+    /// The caps of a process with so many descriptors and bytes of memory. Clients get the larger
+    /// part of the descriptors, as connections that ask for nothing are among theirs.
+    pub fn new(descriptors: usize, memory: usize) -> Self {
+        let descriptors = descriptors.min(MOST_DESCRIPTORS).saturating_sub(OWN_DESCRIPTORS);
+        let part = memory / PART;
+        Self {
+            clients: (descriptors * 3 / 5).min(part / MOST_HEAD).max(1),
+            backends: (descriptors * 2 / 5).min(part / (MOST_HEAD + MOST_BODY)).max(1),
+            bodies: part.max(MOST_BODY),
+        }
+    }
+}
+
+/// So much of something may be in use, all together.
+pub struct Budget {
+    used: Cell<usize>,
+    most: usize,
+}
+
+/// A part of a budget, given back when it is dropped.
+pub struct Permit {
+    budget: Rc<Budget>,
+    part: usize,
+}
+
+impl Budget {
+    /// Room for so much.
+    pub fn new(most: usize) -> Rc<Self> {
+        Rc::new(Self { used: Cell::new(0), most })
+    }
+
+    /// There is room for none.
+    pub fn full(&self) -> bool {
+        self.used.get() >= self.most
+    }
+
+    /// Takes a part, if there is room for it.
+    pub fn take(self: &Rc<Self>, part: usize) -> Option<Permit> {
+        (part <= self.most - self.used.get()).then(|| {
+            self.used.set(self.used.get() + part);
+            Permit { budget: self.clone(), part }
+        })
+    }
+}
+
+impl Drop for Permit {
+    fn drop(&mut self) {
+        self.budget.used.set(self.budget.used.get() - self.part);
+    }
+}
--- /dev/null
+++ b/src/proxy/request.rs
@@ -0,0 +1,201 @@
+//! Reading a client's request and checking it, all that is wrong with it among the errors.
+
+use super::config::WireSettings;
+use super::engine::Payload;
+use super::limits::{Budget, MOST_BODY, Permit};
+use crate::{Effect, Request, RequestId, Settings, Time};
+use bytes::{Bytes, BytesMut};
+use http_body_util::BodyExt;
+use hyper::body::{Body, Incoming};
+use hyper::header::{CONNECTION, CONTENT_LENGTH, HOST, HeaderMap, HeaderName};
+use hyper::header::{TE, TRAILER, TRANSFER_ENCODING, UPGRADE};
+use hyper::{Method, StatusCode};
+use std::rc::Rc;
+use thiserror::Error;
+use tokio::time::Instant;
+
+/// Why a request is not taken.
+#[derive(Debug, Error, PartialEq, Eq)]
+pub enum Unfit {
+    /// A header that is absent, double or makes no sense.
+    #[error("{name}: expected {expected}")]
+    Header {
+        /// The header.
+        name: &'static str,
+        /// What it should have been.
+        expected: &'static str,
+    },
+    /// A method that the class does not have.
+    #[error("the method does not fit the class")]
+    Method,
+    /// A target that is no path.
+    #[error("expected a path")]
+    Target,
+    /// Framing that might be read in two ways.
+    #[error("a Content-Length is needed")]
+    Length,
+    /// More than 64 KiB.
+    #[error("the body is too large")]
+    TooLarge,
+    /// The body broke off.
+    #[error("the body broke off")]
+    Broken,
+    /// The body did not come in time.
+    #[error("the body did not come")]
+    Late,
+    /// The bodies of other requests take all the room.
+    #[error("too much at once, try again")]
+    NoRoom,
+}
+
+impl Unfit {
+    /// The status that tells of it.
+    pub fn status(&self) -> StatusCode {
+        match self {
+            Self::Header { .. } | Self::Method | Self::Target | Self::Broken => StatusCode::BAD_REQUEST,
+            Self::Length => StatusCode::LENGTH_REQUIRED,
+            Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::Late => StatusCode::REQUEST_TIMEOUT,
+            Self::NoRoom => StatusCode::SERVICE_UNAVAILABLE,
+        }
+    }
+}
+
+/// A request that has come whole and can be sent on.
+pub struct Asked {
+    /// What the module is told; the engine gives it an id of its own.
+    pub request: Request,
+    /// The id that the client gave it.
+    pub txn: u64,
+    /// What is sent on.
+    pub payload: Payload,
+    /// The room that its body takes.
+    pub room: Permit,
+}
+
+/// Reads a request that must have come whole by `until`. What can be told from its head is
+/// refused before its body is read.
+pub async fn read(
+    request: hyper::Request<Incoming>,
+    settings: &Settings,
+    wire: &WireSettings,
+    bodies: &Rc<Budget>,
+    until: Instant,
+) -> Result<Asked, Unfit> {
+    let (head, body) = request.into_parts();
+    // hyper takes the length away where both are given, and what one side reads as a body may be
+    // a request to the other: what has a coding is not taken at all, as clients send lengths.
+    if head.headers.contains_key(TRANSFER_ENCODING) {
+        return Err(Unfit::Length);
+    }
+    let length = body.size_hint().exact().unwrap_or(u64::MAX);
+    let length = usize::try_from(length).ok().filter(|l| *l <= MOST_BODY).ok_or(Unfit::TooLarge)?;
+    if !head.uri.path().starts_with('/') || head.uri.authority().is_some() {
+        return Err(Unfit::Target);
+    }
+    let (txn, request) = check(&head.method, &head.headers, settings, wire)?;
+    let room = bodies.take(length).ok_or(Unfit::NoRoom)?;
+    let body = tokio::time::timeout_at(until, whole(body, length)).await.map_err(|_| Unfit::Late)??;
+    let payload = Payload { method: head.method, uri: head.uri, headers: onward(head.headers), body };
+    Ok(Asked { request, txn, payload, room })
+}
+
+async fn whole(mut body: Incoming, length: usize) -> Result<Bytes, Unfit> {
+    let mut whole = BytesMut::with_capacity(length);
+    while let Some(frame) = body.frame().await {
+        whole.extend_from_slice(&frame.map_err(|_| Unfit::Broken)?.into_data().unwrap_or_default());
+    }
+    Ok(whole.freeze())
+}
+
+/// The one value of a header; which of two is meant can't be known.
+fn single<'a>(headers: &'a HeaderMap, name: &'static str) -> Result<Option<&'a str>, Unfit> {
+    let mut values = headers.get_all(name).into_iter();
+    let first = values.next();
+    let text = first.map(|v| v.to_str().map(str::trim)).transpose();
+    match (text, values.next()) {
+        (Ok(text), None) => Ok(text),
+        _ => Err(Unfit::Header { name, expected: "one value, of plain text" }),
+    }
+}
+
+/// The client's id and what the module is told of a request.
+fn check(
+    method: &Method,
+    headers: &HeaderMap,
+    settings: &Settings,
+    wire: &WireSettings,
+) -> Result<(u64, Request), Unfit> {
+    let unfit = |name, expected| Unfit::Header { name, expected };
+    single(headers, "host")?;
+    let hex = |id: &&str| id.len() == 16 && id.bytes().all(|b| b.is_ascii_hexdigit());
+    let txn = single(headers, "x-txn")?.filter(hex).and_then(|id| u64::from_str_radix(id, 16).ok());
+    let txn = txn.ok_or(unfit("X-Txn", "16 hex digits"))?;
+    let place = |names: &[String], name: &str| names.iter().position(|n| n == name);
+    let index = single(headers, "x-lane")?.and_then(|c| place(&wire.classes, c));
+    let index = index.ok_or(unfit("X-Lane", "a known class"))?;
+    let tenant = match single(headers, "x-org")? {
+        Some(name) if !wire.tenants.is_empty() => {
+            Some(place(&wire.tenants, name).ok_or(unfit("X-Org", "a known tenant"))?)
+        }
+        _ => None,
+    };
+    let class = &settings.classes[index];
+    // No client waits longer than its class allows; a longer wait would keep timers for weeks.
+    let budget = match single(headers, "x-remaining-ms")? {
+        Some(ms) => {
+            let digits = Some(ms).filter(|ms| ms.bytes().all(|b| b.is_ascii_digit()));
+            let ms = digits.and_then(|ms| ms.parse::<u32>().ok());
+            let ms = ms.ok_or(unfit("X-Remaining-Ms", "whole milliseconds"))?;
+            (Time::from(ms) / 1000.0).min(class.deadline)
+        }
+        None => class.deadline,
+    };
+    let key = single(headers, "idempotency-key")?;
+    let fits = match class.effect {
+        Effect::Safe => method == Method::GET,
+        Effect::Keyed { .. } | Effect::Unsafe => method == Method::POST,
+    };
+    match class.effect {
+        _ if !fits => Err(Unfit::Method),
+        Effect::Keyed { .. } if key.is_none_or(str::is_empty) => {
+            Err(unfit("Idempotency-Key", "a value, for this class"))
+        }
+        Effect::Unsafe if key.is_some() => Err(unfit("Idempotency-Key", "none, for this class")),
+        _ => {
+            let id = RequestId::default();
+            Ok((txn, Request { id, class: index, tenant, key: subject(headers), budget }))
+        }
+    }
+}
+
+/// What a request is about: the cookie `sid`, as it is if it is a key, else scattered.
+fn subject(headers: &HeaderMap) -> Option<u64> {
+    let cookies = headers.get_all("cookie").into_iter().filter_map(|v| v.to_str().ok());
+    let mut pairs = cookies.flat_map(|v| v.split(';')).filter_map(|pair| pair.trim().split_once('='));
+    let (_, sid) = pairs.find(|(name, _)| *name == "sid")?;
+    let scattered = || {
+        sid.bytes().fold(0xcbf2_9ce4_8422_2325, |h: u64, b| (h ^ u64::from(b)).wrapping_mul(0x100_0000_01b3))
+    };
+    Some(u64::from_str_radix(sid, 16).unwrap_or_else(|_| scattered()))
+}
+
+/// The headers that go on to backends: all but those of the connection itself.
+fn onward(mut headers: HeaderMap) -> HeaderMap {
+    let named: Vec<HeaderName> = headers
+        .get_all(CONNECTION)
+        .into_iter()
+        .filter_map(|v| v.to_str().ok())
+        .flat_map(|v| v.split(','))
+        .filter_map(|name| name.trim().parse().ok())
+        .filter(|name| *name != HOST)
+        .collect();
+    let own = [CONNECTION, CONTENT_LENGTH, TE, TRAILER, TRANSFER_ENCODING, UPGRADE];
+    for name in named.iter().chain(&own) {
+        headers.remove(name);
+    }
+    for name in ["keep-alive", "proxy-connection", "expect"] {
+        headers.remove(name);
+    }
+    headers
+}
--- a/src/proxy/server.rs
+++ b/src/proxy/server.rs
@@ -1,39 +1,34 @@
 //! The clients' side: the listener, requests and their answers, readiness and the graceful stop.
 
-use super::backend::MOST_BODY;
+use super::clients::{self, Client, Clients, Place, Socket};
 use super::config::WireSettings;
-use super::engine::{Answer, Engine, Payload};
-use crate::{Effect, Request, RequestId, Settings, Time};
-use bytes::{Bytes, BytesMut};
-use http_body_util::{BodyExt, Full};
-use hyper::body::{Body, Incoming};
-use hyper::header::{CONNECTION, CONTENT_LENGTH, CONTENT_TYPE, HOST, HeaderMap, HeaderName, RETRY_AFTER};
-use hyper::header::{HeaderValue, TE, TRAILER, TRANSFER_ENCODING, UPGRADE};
+use super::engine::{Answer, Engine};
+use super::limits::{Budget, Caps, MOST_HEAD};
+use super::request::{self, Unfit};
+use crate::{RequestId, Settings};
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::header::{CONNECTION, CONTENT_TYPE, HeaderValue, RETRY_AFTER};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Response, StatusCode};
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::rt::TokioIo;
 use std::cell::Cell;
 use std::convert::Infallible;
 use std::io;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{Notify, watch};
+use tokio::sync::watch;
 
 /// How long after SIGTERM clients are still accepted: the front goes on for a moment.
 const LINGER: Duration = Duration::from_millis(550);
 /// So many steps without a request in hand, after that, and connections are no longer waited for.
 const IDLE_STEPS: usize = 10;
 const STEP: Duration = Duration::from_millis(50);
-/// A head or body that takes longer to arrive is given up.
-const READ_TIMEOUT: Duration = Duration::from_secs(60);
-/// So much of a body that is too large is read, so that the client gets to see the answer.
-const MOST_DISCARDED: usize = 16 * MOST_BODY;
-/// Largest head of a request.
-const MOST_HEAD: usize = 32 << 10;
-/// Connections beyond the limit that are answered with a refusal, as a part of the limit.
-const OVERFLOW: usize = 8;
+/// How long a connection without a request may take to end once it is to be closed.
+const CLOSE_WITHIN: Duration = Duration::from_millis(200);
 
 type Reply = Response<Full<Bytes>>;
 
@@ -46,19 +41,9 @@
     stopping: Cell<bool>,
     /// Idle connections are to be closed.
     closing: watch::Sender<bool>,
-    connections: Cell<usize>,
-    most: usize,
-    closed: Notify,
-}
-
-/// Counts a connection while it is open.
-struct Counted(Rc<Server>);
-
-impl Drop for Counted {
-    fn drop(&mut self) {
-        self.0.connections.set(self.0.connections.get() - 1);
-        self.0.closed.notify_one();
-    }
+    clients: Rc<Clients>,
+    /// Room for the bodies of requests.
+    bodies: Rc<Budget>,
 }
 
 /// Tells the engine that the client has left, if it is dropped before the answer.
@@ -70,28 +55,27 @@
     }
 }
 
-fn plain(status: StatusCode, text: &'static str) -> Reply {
-    let mut reply = Response::new(Full::new(Bytes::from_static(text.as_bytes())));
+fn plain(status: StatusCode, text: impl Into<Bytes>) -> Reply {
+    let mut reply = Response::new(Full::new(text.into()));
     *reply.status_mut() = status;
     reply
 }
 
-fn header<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
-    headers.get(name).and_then(|v| v.to_str().ok()).map(str::trim)
+fn refusal(unfit: &Unfit) -> Reply {
+    plain(unfit.status(), format!("{unfit}\n"))
 }
 
 impl Server {
-    /// A server with at most `connections` from clients.
-    pub fn new(engine: Rc<Engine>, settings: Settings, wire: WireSettings, connections: usize) -> Rc<Self> {
+    /// A server that keeps to these caps.
+    pub fn new(engine: Rc<Engine>, settings: Settings, wire: WireSettings, caps: Caps) -> Rc<Self> {
         Rc::new(Self {
             engine,
             settings,
             wire,
             stopping: Cell::new(false),
             closing: watch::Sender::new(false),
-            connections: Cell::new(0),
-            most: connections,
-            closed: Notify::new(),
+            clients: Clients::new(caps.clients),
+            bodies: Budget::new(caps.bodies),
         })
     }
 
@@ -105,61 +89,77 @@
         };
         tokio::select! {
             () = accepting => {}
+            () = self.sweep() => {}
             () = stopped => {}
         }
         // What the system has accepted for us is ours to answer too.
         while let Ok(Ok((stream, _))) = tokio::time::timeout(Duration::ZERO, listener.accept()).await {
-            self.clone().serve(stream);
+            self.clone().serve(stream, self.clients.admit());
         }
         drop(listener);
         self.closing.send_replace(true);
         // A client that neither finishes its request nor goes away must not keep us until SIGKILL.
         let mut idle = 0;
-        while self.connections.get() > 0 && idle < IDLE_STEPS {
-            let _ = tokio::time::timeout(STEP, self.closed.notified()).await;
+        while !self.clients.is_empty() && idle < IDLE_STEPS {
+            self.clients.one_left(STEP).await;
             idle = if self.engine.owes_answers() { 0 } else { idle + 1 };
         }
     }
 
+    async fn sweep(&self) {
+        loop {
+            tokio::time::sleep(clients::STEP).await;
+            self.clients.sweep();
+        }
+    }
+
     async fn accept(self: Rc<Self>, listener: &TcpListener) {
         loop {
-            while self.connections.get() >= self.most + self.most / OVERFLOW {
-                self.closed.notified().await;
-            }
-            match listener.accept().await {
-                Ok((stream, _)) => self.clone().serve(stream),
+            let stream = match listener.accept().await {
+                Ok((stream, _)) => stream,
                 Err(error) => {
                     eprintln!("accept: {error}");
                     tokio::time::sleep(Duration::from_millis(10)).await;
+                    continue;
                 }
+            };
+            // Waits with one in hand: nobody has to go before another has come.
+            while !self.clients.make_room() && self.clients.crowded() {
+                self.clients.one_left(STEP).await;
             }
+            self.clone().serve(stream, self.clients.admit());
         }
     }
 
-    fn serve(self: Rc<Self>, stream: TcpStream) {
+    fn serve(self: Rc<Self>, stream: TcpStream, place: Place) {
         let _ = stream.set_nodelay(true); // it still works if not
-        self.connections.set(self.connections.get() + 1);
-        let full = self.connections.get() > self.most;
-        let counted = Counted(self.clone());
+        let full = self.clients.full();
         tokio::task::spawn_local(async move {
-            let server = &counted.0;
+            let (server, client) = (&self, place.client());
             let mut closing = server.closing.subscribe();
             let service = service_fn(|request| async move {
-                let mut reply = server.reply(request, full).await;
-                if full || server.stopping.get() {
+                let mut reply = server.reply(request, client, full).await;
+                client.answered();
+                // What is wrong once is not given another try on the same connection: the rest of
+                // it may be anything, and each try has its price.
+                let wrong = reply.status().is_client_error();
+                if full || wrong || server.stopping.get() {
                     reply.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
                 }
                 Ok::<_, Infallible>(reply)
             });
-            let connection = http1::Builder::new()
-                .timer(TokioTimer::new())
-                .header_read_timeout(READ_TIMEOUT)
-                .max_buf_size(MOST_HEAD)
-                .serve_connection(TokioIo::new(stream), service);
+            let socket = Socket::new(stream, client.clone());
+            let connection =
+                http1::Builder::new().max_buf_size(MOST_HEAD).serve_connection(TokioIo::new(socket), service);
             let mut connection = std::pin::pin!(connection);
             tokio::select! {
                 biased; // a request that has come is read before the connection is closed
                 _ = connection.as_mut() => return, // its end is no news: clients come and go
+                () = client.ended() => {
+                    connection.as_mut().graceful_shutdown();
+                    let _ = tokio::time::timeout(CLOSE_WITHIN, connection).await;
+                    return;
+                }
                 _ = closing.wait_for(|closing| *closing) => {}
             }
             connection.as_mut().graceful_shutdown();
@@ -167,30 +167,24 @@
         });
     }
 
-    async fn reply(&self, request: hyper::Request<Incoming>, full: bool) -> Reply {
+    async fn reply(&self, request: hyper::Request<Incoming>, client: &Client, full: bool) -> Reply {
         if request.uri().path() == "/-/ready" {
             return match self.engine.listed() && !self.stopping.get() {
                 true => plain(StatusCode::OK, "ready\n"),
                 false => plain(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
             };
         }
-        let (head, body) = request.into_parts();
-        let body = match tokio::time::timeout(READ_TIMEOUT, read(body)).await {
-            Ok(Ok(body)) => body,
-            Ok(Err(problem)) => return problem,
-            Err(_) => return plain(StatusCode::REQUEST_TIMEOUT, "the body did not come\n"),
-        };
-        let request = match self.request(&head.headers) {
-            Ok(request) => request,
-            Err(problem) => return plain(StatusCode::BAD_REQUEST, problem),
+        let until = client.read_until();
+        let asked = match request::read(request, &self.settings, &self.wire, &self.bodies, until).await {
+            Ok(asked) => asked,
+            Err(unfit) => return refusal(&unfit),
         };
+        client.opened();
+        let _room = asked.room;
         if full {
             return plain(StatusCode::SERVICE_UNAVAILABLE, "too many connections\n");
         }
-        let id = request.id;
-        let headers = onward(head.headers);
-        let payload = Payload { method: head.method, uri: head.uri, headers, body };
-        let Some(answer) = self.engine.request(request, payload) else {
+        let Some((id, answer)) = self.engine.request(asked.txn, asked.request, asked.payload) else {
             return plain(StatusCode::BAD_REQUEST, "X-Txn is in use\n");
         };
         let leaving = Leaving(&self.engine, id);
@@ -214,88 +208,6 @@
             Ok(Answer::Failed) | Err(_) => plain(StatusCode::BAD_GATEWAY, "failed\n"),
         }
     }
-
-    /// What the module is told of a request, or what is wrong with it.
-    fn request(&self, headers: &HeaderMap) -> Result<Request, &'static str> {
-        let id = header(headers, "x-txn").filter(|id| id.len() == 16);
-        let id =
-            id.and_then(|id| u64::from_str_radix(id, 16).ok()).ok_or("X-Txn: expected 16 hex digits\n")?;
-        let place = |names: &[String], name: &str| names.iter().position(|n| n == name);
-        let class = header(headers, "x-lane").and_then(|c| place(&self.wire.classes, c));
-        let class = class.ok_or("X-Lane: expected a known class\n")?;
-        let tenant = match header(headers, "x-org") {
-            Some(name) if !self.wire.tenants.is_empty() => {
-                Some(place(&self.wire.tenants, name).ok_or("X-Org: expected a known tenant\n")?)
-            }
-            _ => None,
-        };
-        let deadline = self.settings.classes[class].deadline;
-        let budget = match headers.contains_key("x-remaining-ms") {
-            true => header(headers, "x-remaining-ms")
-                .and_then(|ms| ms.parse::<u32>().ok())
-                .map(|ms| Time::from(ms) / 1000.0)
-                .ok_or("X-Remaining-Ms: expected whole milliseconds\n")?,
-            false => deadline,
-        };
-        if matches!(self.settings.classes[class].effect, Effect::Keyed { .. })
-            && !headers.contains_key("idempotency-key")
-        {
-            return Err("Idempotency-Key: expected for this class\n");
-        }
-        Ok(Request { id: RequestId(id), class, tenant, key: subject(headers), budget })
-    }
-}
-
-/// What a request is about: the cookie `sid`, as it is if it is a key, else scattered.
-fn subject(headers: &HeaderMap) -> Option<u64> {
-    let cookies = headers.get_all("cookie").into_iter().filter_map(|v| v.to_str().ok());
-    let mut pairs = cookies.flat_map(|v| v.split(';')).filter_map(|pair| pair.trim().split_once('='));
-    let (_, sid) = pairs.find(|(name, _)| *name == "sid")?;
-    let scattered = || {
-        sid.bytes().fold(0xcbf2_9ce4_8422_2325, |h: u64, b| (h ^ u64::from(b)).wrapping_mul(0x100_0000_01b3))
-    };
-    Some(u64::from_str_radix(sid, 16).unwrap_or_else(|_| scattered()))
-}
-
-/// The headers that go on to backends: all but those of the connection itself.
-fn onward(mut headers: HeaderMap) -> HeaderMap {
-    let named: Vec<HeaderName> = headers
-        .get_all(CONNECTION)
-        .into_iter()
-        .filter_map(|v| v.to_str().ok())
-        .flat_map(|v| v.split(','))
-        .filter_map(|name| name.trim().parse().ok())
-        .filter(|name| *name != HOST)
-        .collect();
-    let own = [CONNECTION, CONTENT_LENGTH, TE, TRAILER, TRANSFER_ENCODING, UPGRADE];
-    for name in named.iter().chain(&own) {
-        headers.remove(name);
-    }
-    for name in ["keep-alive", "proxy-connection", "expect"] {
-        headers.remove(name);
-    }
-    headers
-}
-
-/// Reads a body of bounded size. One that is too large is read on for a while and dropped, so
-/// that the client is done writing when the answer comes.
-async fn read(mut body: Incoming) -> Result<Bytes, Reply> {
-    let mut whole = BytesMut::with_capacity(body.size_hint().lower().min(MOST_BODY as u64) as usize);
-    let mut length = 0;
-    while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(|_| plain(StatusCode::BAD_REQUEST, "the body broke off\n"))?;
-        let data = frame.into_data().unwrap_or_default();
-        length += data.len();
-        if length <= MOST_BODY {
-            whole.extend_from_slice(&data);
-        } else if length > MOST_DISCARDED {
-            break;
-        }
-    }
-    match length <= MOST_BODY {
-        true => Ok(whole.freeze()),
-        false => Err(plain(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large\n")),
-    }
 }
 
 /// Binds the listener.
--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -2,8 +2,9 @@
 //! test plays over loopback sockets.
 
 use gannetproxy::Outcome;
-use gannetproxy::proxy::backend::{Budget, Endpoint, attempt};
+use gannetproxy::proxy::backend::{Endpoint, attempt};
 use gannetproxy::proxy::engine::{Clock, Payload};
+use gannetproxy::proxy::limits::Budget;
 use serde_json::{Value, json};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
