--- a/src/logic.rs
+++ b/src/logic.rs
@@ -22,11 +22,11 @@
 /// Memory of the send rate, in T1s of the longest class: the paper's weight, slots of T1 / 25.
 const RATE_MEMORY: f64 = 20.0;
 /// Calls beyond the usual number that chance explains, in roots of it, and where they last.
-const CHANCE: [f64; 2] = [1.5, 0.8];
+const CHANCE: [f64; 2] = [3.5, 0.8];
 /// At a busy balancer the root is small beside this part of the usual number, which stands instead.
 const USUAL_SPREAD: f64 = 0.35;
 /// It narrows by this for each root of mean excess
-const NARROWING: f64 = 2.0;
+const NARROWING: f64 = 4.0;
 /// beyond this one, averaged over
 const CALM_EXCESS: f64 = 0.4;
 /// this part of the memory of the send rate.
@@ -146,6 +146,8 @@
 struct Backend {
     entry: Entry,
     in_flight: usize,
+    /// Attempts of calls without a final answer that name it.
+    named: usize,
     /// Recent answer time over the normal one of the class; 1 is normal.
     slowness: f64,
     slowness_at: Time,
@@ -251,6 +253,8 @@
     orphans: HashMap<(RequestId, usize), u64>,
     backends: Vec<Backend>,
     by_backend: HashMap<BackendId, usize>,
+    /// Places of forgotten backends, for new ones.
+    vacant: Vec<usize>,
     /// Backends in service, by index.
     listed: Vec<usize>,
     /// The same by zone and by cell, for repeats of keyed requests.
@@ -298,6 +302,7 @@
             orphans: HashMap::new(),
             backends: Vec::new(),
             by_backend: HashMap::new(),
+            vacant: Vec::new(),
             listed: Vec::new(),
             groups: HashMap::new(),
             subset: Vec::new(),
@@ -592,6 +597,7 @@
         let (now, until) = (self.now, self.calls[slot].until);
         let b = &mut self.backends[backend];
         b.in_flight += 1;
+        b.named += 1;
         b.cold.room -= 1.0;
         let (cell, zone, id) = (b.entry.cell, b.entry.zone, b.entry.id);
         let call = &mut self.calls[slot];
@@ -776,6 +782,7 @@
         };
         self.by_id.remove(&call.id);
         for (i, attempt) in call.attempts.iter().enumerate() {
+            self.backends[attempt.backend].named -= 1;
             if self.settings.cancel && attempt.outcome.is_none() && keep != Some(i) {
                 actions.push(Action::Cancel { id: call.id, attempt: i });
             }
@@ -868,22 +875,42 @@
         }
         self.watch_wait = self.settings.ask_within / 10.0;
         self.relist();
+        self.forget();
+    }
+
+    /// Forgets backends that are gone and that no call or attempt names: where all are replaced
+    /// by ever new ones, keeping them would grow without end.
+    fn forget(&mut self) {
+        for (i, b) in self.backends.iter().enumerate() {
+            let unnamed = b.entry.status == Status::Gone && b.in_flight == 0 && b.named == 0;
+            if unnamed && self.by_backend.get(&b.entry.id) == Some(&i) {
+                self.by_backend.remove(&b.entry.id);
+                self.vacant.push(i);
+            }
+        }
     }
 
     fn take_in(&mut self, entry: &Entry, actions: &mut Vec<Action>) {
         let fresh = Bucket { room: 0.0, at: self.now };
-        let known = *self.by_backend.entry(entry.id).or_insert(self.backends.len());
-        if known == self.backends.len() {
-            self.backends.push(Backend {
+        let known = self.by_backend.get(&entry.id).copied().unwrap_or_else(|| {
+            let new = Backend {
                 entry: entry.clone(),
                 in_flight: 0,
+                named: 0,
                 slowness: 1.0,
                 slowness_at: self.now,
                 answered_at: f64::NEG_INFINITY,
                 cold: fresh,
                 service: None,
-            });
-        }
+            };
+            let place = self.vacant.pop().unwrap_or(self.backends.len());
+            self.by_backend.insert(entry.id, place);
+            match self.backends.get_mut(place) {
+                Some(vacant) => *vacant = new,
+                None => self.backends.push(new),
+            }
+            place
+        });
         let b = &mut self.backends[known];
         if b.entry.started != entry.started {
             (b.slowness, b.slowness_at, b.cold) = (1.0, self.now, fresh);
--- a/src/proxy/backend.rs
+++ b/src/proxy/backend.rs
@@ -1,13 +1,14 @@
 //! Connections to backends, attempts and probes on them, and the exact outcome of each.
 
 use super::engine::{Clock, Payload};
-use super::limits::{Budget, MOST_BODY, Permit};
+use super::limits::{Budget, MOST_BODY, MOST_HEAD, Permit};
 use crate::{Outcome, Report, Time};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1;
-use hyper::header::{CONTENT_TYPE, HeaderValue};
+use hyper::header::{CONTENT_LENGTH, CONTENT_TYPE, HeaderValue, TRANSFER_ENCODING};
+use hyper::http::response::Parts;
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use std::cell::{Cell, RefCell};
@@ -16,8 +17,10 @@
 use std::net::SocketAddr;
 use std::pin::{Pin, pin};
 use std::rc::Rc;
+use std::sync::{Arc, Mutex};
 use std::task::{Context, Poll, Waker};
 use std::time::Duration;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 
@@ -25,26 +28,102 @@
 /// close to the limit crosses the backend's closing, and the request on it is lost.
 const REUSE_WITHIN: f64 = 0.7;
 
+/// A connection is used again only so long after its last answer: what a backend writes behind an
+/// answer comes by then, spoils the connection, and is not taken for the answer to what is sent next.
+const SETTLED: Duration = Duration::from_millis(25);
+/// An answer that has begun and then stands still for so long is given up as spoilt.
+const STALLED: Duration = Duration::from_millis(500);
+/// How often that is looked at.
+const LOOK: Duration = Duration::from_millis(100);
+
+/// When something was last heard of an answer that has begun.
+#[derive(Clone, Default)]
+struct Heard(Arc<Mutex<Option<Instant>>>);
+
+impl Heard {
+    fn set(&self, at: Option<Instant>) {
+        if let Ok(mut heard) = self.0.lock() {
+            *heard = at;
+        }
+    }
+
+    /// Returns once an answer stands still.
+    async fn stalled(&self) {
+        let stands = || self.0.lock().is_ok_and(|h| h.is_some_and(|at| at.elapsed() >= STALLED));
+        while !stands() {
+            tokio::time::sleep(LOOK).await;
+        }
+    }
+}
+
+/// A socket that notes when something came.
+struct Line {
+    stream: TcpStream,
+    heard: Heard,
+}
+
+impl AsyncRead for Line {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buffer.filled().len();
+        let read = Pin::new(&mut self.stream).poll_read(cx, buffer);
+        if buffer.filled().len() > before {
+            self.heard.set(Some(Instant::now()));
+        }
+        read
+    }
+}
+
+impl AsyncWrite for Line {
+    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, data: &[u8]) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(cx, data)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
+
 /// A connection and what drives it. Nothing is read or written but while its owner waits on it,
 /// so that dropping it ends both at once.
 pub struct Peer {
     sender: http1::SendRequest<Full<Bytes>>,
     io: Io,
+    heard: Heard,
 }
 
 struct Io {
-    connection: Pin<Box<http1::Connection<TokioIo<TcpStream>, Full<Bytes>>>>,
+    connection: Pin<Box<http1::Connection<TokioIo<Line>, Full<Bytes>>>>,
     ended: bool,
 }
 
 type Sent = hyper::client::conn::TrySendError<Request<Full<Bytes>>>;
 
+/// Why there is no answer.
+enum Spoilt {
+    /// Nothing of the request has gone out.
+    Unsent,
+    /// It may have run.
+    Sent,
+}
+
 /// Connects.
 pub async fn connect(address: SocketAddr, within: Duration) -> io::Result<Peer> {
     let stream = tokio::time::timeout(within, TcpStream::connect(address)).await??;
     stream.set_nodelay(true)?;
-    let (sender, io) = http1::handshake(TokioIo::new(stream)).await.map_err(io::Error::other)?;
-    Ok(Peer { sender, io: Io { connection: Box::pin(io), ended: false } })
+    let heard = Heard::default();
+    let line = Line { stream, heard: heard.clone() };
+    // A head without end must not grow without bound.
+    let builder = http1::Builder::new().max_buf_size(MOST_HEAD).handshake(TokioIo::new(line));
+    let (sender, io) = builder.await.map_err(io::Error::other)?;
+    Ok(Peer { sender, io: Io { connection: Box::pin(io), ended: false }, heard })
 }
 
 impl Peer {
@@ -58,6 +137,38 @@
         self.io.drive(self.sender.try_send_request(request)).await
     }
 
+    /// Sends a request and waits for the answer, which must come whole and be nothing but that:
+    /// one that stands still half way, or is too long, or might be read in two ways, is none.
+    async fn exchange(&mut self, mut request: Request<Full<Bytes>>) -> Result<(Parts, Bytes), Spoilt> {
+        let heard = self.heard.clone();
+        heard.set(None);
+        let begun_anew = heard.clone();
+        // 1xx answers come ahead of the one that counts, perhaps long ahead.
+        hyper::ext::on_informational(&mut request, move |_| begun_anew.set(None));
+        let answered = async {
+            let answer = match self.send(request).await {
+                Some(Ok(answer)) => answer,
+                // Handed back whole: the connection had ended before any of it was written.
+                Some(Err(error)) if error.message().is_some() => return Err(Spoilt::Unsent),
+                _ => return Err(Spoilt::Sent),
+            };
+            let (head, body) = answer.into_parts();
+            let double = [TRANSFER_ENCODING, CONTENT_LENGTH].iter().all(|n| head.headers.contains_key(n));
+            let long = body.size_hint().lower() > MOST_BODY as u64;
+            if double || long || head.status.is_informational() {
+                return Err(Spoilt::Sent);
+            }
+            match self.drive(Limited::new(body, MOST_BODY).collect()).await {
+                Some(Ok(body)) => Ok((head, body.to_bytes())),
+                _ => Err(Spoilt::Sent),
+            }
+        };
+        tokio::select! {
+            answered = answered => answered,
+            () = heard.stalled() => Err(Spoilt::Sent),
+        }
+    }
+
     /// It, if it can carry another request and the other side has not closed it meanwhile. Waits
     /// for nothing: an answer that has come must not be held up by its connection.
     pub fn checked(mut self) -> Option<Self> {
@@ -99,6 +210,8 @@
     idle: RefCell<Vec<Idle>>,
     /// Set while it drains or is gone.
     last_send: Cell<Option<Time>>,
+    /// The list says so, or no longer names it.
+    gone: Cell<bool>,
     /// Goes up when its connections are no longer to be kept.
     era: Cell<u64>,
     budget: Rc<Budget>,
@@ -113,6 +226,7 @@
             address: Cell::new(address),
             idle: RefCell::default(),
             last_send: Cell::new(None),
+            gone: Cell::new(false),
             era: Cell::new(0),
             budget,
             connect_timeout,
@@ -128,11 +242,18 @@
         // Hearing of the same drain again doesn't extend the grace.
         let earlier = self.last_send.get().filter(|_| last_send.is_some());
         self.last_send.set(earlier.or(last_send));
+        self.gone.set(false);
     }
 
     /// It is gone from the list: sends must end by `last_send`.
     pub fn end(&self, last_send: Time) {
         self.update(self.address.get(), Some(last_send));
+        self.gone.set(true);
+    }
+
+    /// It is gone, and its grace is over.
+    pub fn forgettable(&self, clock: &Clock) -> bool {
+        self.gone.get() && !self.may_send(clock)
     }
 
     /// Closes the idle connections, and those in use once they become idle.
@@ -152,12 +273,16 @@
         self.idle.replace(swept);
     }
 
-    /// Closes the connection that has been idle longest; tells whether there was one.
-    pub fn evict(&self) -> bool {
+    /// Since when its longest idle connection has been idle.
+    pub fn idle_since(&self) -> Option<Instant> {
+        self.idle.borrow().first().map(|idle| idle.since)
+    }
+
+    /// Closes that connection.
+    pub fn evict(&self) {
         let mut idle = self.idle.borrow_mut();
-        !idle.is_empty() && {
+        if !idle.is_empty() {
             drop(idle.remove(0));
-            true
         }
     }
 
@@ -165,10 +290,12 @@
         self.last_send.get().is_none_or(|last| clock.now() < last)
     }
 
-    /// An idle connection, the one used last, or a new one.
+    /// An idle connection that has settled, the one used last, or a new one.
     async fn peer(&self) -> Option<(Peer, Permit)> {
         loop {
-            let Some(Idle { peer, permit, since }) = self.idle.borrow_mut().pop() else {
+            let mut idle = self.idle.borrow_mut();
+            let settled = idle.iter().rposition(|i| i.since.elapsed() >= SETTLED);
+            let Some(Idle { peer, permit, since }) = settled.map(|i| idle.remove(i)) else {
                 break;
             };
             if since.elapsed() < self.reuse_within
@@ -240,7 +367,7 @@
     request: impl Fn() -> Request<Full<Bytes>>,
 ) -> Done {
     let era = endpoint.era.get();
-    let (mut peer, permit, answer) = loop {
+    let (peer, permit, head, body) = loop {
         let Some((mut peer, permit)) = endpoint.peer().await else {
             return Done::without_answer(Outcome::NoConnection);
         };
@@ -249,18 +376,12 @@
             return Done::without_answer(Outcome::NoConnection);
         }
         written.set(true);
-        match peer.send(request()).await {
-            Some(Ok(answer)) => break (peer, permit, answer),
-            // Handed back whole: the connection had ended before any of it was written.
-            Some(Err(error)) if error.message().is_some() => written.set(false),
-            _ => return Done::without_answer(Outcome::Reset),
+        match peer.exchange(request()).await {
+            Ok((head, body)) => break (peer, permit, head, body),
+            Err(Spoilt::Unsent) => written.set(false),
+            Err(Spoilt::Sent) => return Done::without_answer(Outcome::Reset),
         }
     };
-    let (head, body) = answer.into_parts();
-    let Some(Ok(body)) = peer.drive(Limited::new(body, MOST_BODY).collect()).await else {
-        return Done::without_answer(Outcome::Reset);
-    };
-    let body = body.to_bytes();
     if let Some(peer) = peer.checked()
         && endpoint.era.get() == era
     {
--- a/src/proxy/discovery.rs
+++ b/src/proxy/discovery.rs
@@ -9,7 +9,7 @@
 use hyper::Request;
 use serde::Deserialize;
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -110,7 +110,7 @@
 struct Translation {
     zones: Vec<String>,
     ids: HashMap<String, BackendId>,
-    taken: HashMap<BackendId, String>,
+    taken: HashSet<BackendId>,
 }
 
 impl Translation {
@@ -121,14 +121,21 @@
         }
         let hash = name.bytes().fold(0x811c_9dc5_u32, |h, b| (h ^ u32::from(b)).wrapping_mul(0x0100_0193));
         let mut id = BackendId(hash);
-        while self.taken.contains_key(&id) {
+        while self.taken.contains(&id) {
             id = BackendId(id.0.wrapping_add(1));
         }
-        self.taken.insert(id, name.to_string());
+        self.taken.insert(id);
         self.ids.insert(name.to_string(), id);
         id
     }
 
+    /// Forgets the names of backends that are not known any more; one that comes back gets the
+    /// number that it had, by its name.
+    fn forget(&mut self, known: impl Fn(BackendId) -> bool) {
+        self.ids.retain(|_, id| known(*id));
+        self.taken.retain(|id| known(*id));
+    }
+
     fn list(&mut self, raw: Vec<RawEntry>, clock: &Clock) -> Vec<Listed> {
         let listed = |raw: RawEntry| Listed {
             entry: Entry {
@@ -175,7 +182,7 @@
         engine: Rc<Engine>,
     ) -> Rc<Self> {
         let zones = wire.zones.clone();
-        let names = Translation { zones, ids: HashMap::new(), taken: HashMap::new() };
+        let names = Translation { zones, ids: HashMap::new(), taken: HashSet::new() };
         let discovery = Rc::new(Self {
             address: Cell::new(address),
             names: RefCell::new(names),
@@ -267,6 +274,7 @@
                 let listed = self.names.borrow_mut().list(list.instances, self.engine.clock());
                 let news = if list.reset { News::Full(listed) } else { News::Changes(listed) };
                 self.engine.news(news);
+                self.names.borrow_mut().forget(|id| self.engine.knows(id));
             }
             Err(error) => {
                 eprintln!("discovery: {error}");
--- a/src/proxy/engine.rs
+++ b/src/proxy/engine.rs
@@ -225,6 +225,11 @@
         *self.discovery.borrow_mut() = Rc::downgrade(discovery);
     }
 
+    /// It has been listed, and not been gone for longer than sends to it may take.
+    pub fn knows(&self, backend: BackendId) -> bool {
+        self.state.borrow().endpoints.contains_key(&backend)
+    }
+
     /// There is a list to go by.
     pub fn listed(&self) -> bool {
         self.listed.get()
@@ -293,14 +298,18 @@
             News::Changes(list) => list,
             News::Refused => &[],
         };
+        let last_send = now + GRACE_USED * self.drain_grace;
         for Listed { entry, address } in listed {
-            let drained = entry.status != Status::InService;
-            let last_send = drained.then_some(now + GRACE_USED * self.drain_grace);
+            if entry.status == Status::Gone {
+                state.endpoints.get(&entry.id).into_iter().for_each(|e| e.end(last_send));
+                continue;
+            }
+            let drained = (entry.status != Status::InService).then_some(last_send);
             let new = || {
                 let budget = self.budget.clone();
                 Rc::new(Endpoint::new(*address, budget, self.connect_timeout, self.idle_close))
             };
-            state.endpoints.entry(entry.id).or_insert_with(new).update(*address, last_send);
+            state.endpoints.entry(entry.id).or_insert_with(new).update(*address, drained);
         }
         self.listed.set(self.listed.get() || listed.iter().any(|l| l.entry.status == Status::InService));
         state.told.push_back(Told::List(news));
@@ -414,7 +423,9 @@
         };
         if self.budget.full() {
             // Room for a connection that may be needed, at the cost of one that is not.
-            let _ = state.endpoints.values().any(|e| e.evict());
+            let idle = |e: &&Rc<Endpoint>| e.idle_since().is_some();
+            let longest = state.endpoints.values().filter(idle).min_by_key(|e| e.idle_since());
+            longest.into_iter().for_each(|e| e.evict());
         }
         let attempt = open.attempts;
         open.attempts += 1;
@@ -498,8 +509,12 @@
     async fn sweep(self: Rc<Self>) {
         loop {
             tokio::time::sleep(SWEEP).await;
-            let endpoints: Vec<_> = self.state.borrow().endpoints.values().cloned().collect();
-            endpoints.iter().for_each(|e| e.sweep());
+            let mut state = self.state.borrow_mut();
+            // Where backends are ever new, the gone ones must not be kept. The map's handle is the
+            // last one when no attempt or probe is out.
+            let ended = |e: &Rc<Endpoint>| Rc::strong_count(e) == 1 && e.forgettable(&self.clock);
+            state.endpoints.retain(|_, e| !ended(e));
+            state.endpoints.values().for_each(|e| e.sweep());
         }
     }
 }
--- /dev/null
+++ b/tests/bad_backends.rs
@@ -0,0 +1,83 @@
+//! Backends whose answers come spoilt, or with more than belongs to them.
+
+mod common;
+
+use common::sockets::*;
+use std::sync::atomic::Ordering;
+use std::time::{Duration, Instant};
+
+const GOOD: &str = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello";
+
+/// One that answers with these bytes, whatever they are, and keeps the connection.
+fn saying(bytes: &'static str) -> Played {
+    Played::new(move |_, _| Play::Answer(bytes.to_string()))
+}
+
+#[test]
+fn a_spoilt_answer_has_failed_soon_and_may_have_run() {
+    let mut long = String::from("HTTP/1.1 200 OK\r\n");
+    for i in 0..2000 {
+        long += &format!("X-{i}: {}\r\n", "y".repeat(64));
+    }
+    let long: &'static str = long.leak();
+    for bytes in [
+        "\u{1}\u{2}noise noise noise\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: 5",
+        "HTTP/1.1 200 OK\r\nContent-Length: 50\r\n\r\nhello",
+        "HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nhello",
+        "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nContent-Length: 4\r\n\r\nhello",
+        "HTTP/1.1 200 OK\r\nContent-Length: -5\r\n\r\nhello",
+        "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
+        "HTTP/1.1 101 Switching Protocols\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\n",
+        long,
+    ] {
+        let backend = saying(bytes);
+        let proxy = Proxy::before(&[&backend]);
+        let start = Instant::now();
+        let status = proxy.ask(&request("order", 19_000)).status();
+        assert!(status != 200 && status != 429 && status != 503, "{status} for {bytes:.60}");
+        // Far sooner than the 19 s that the client would wait.
+        assert!(start.elapsed() < Duration::from_secs(10), "{:?} for {bytes:.60}", start.elapsed());
+        assert_eq!(backend.count(), 1, "{bytes:.60}");
+    }
+}
+
+#[test]
+fn what_comes_behind_a_good_answer_is_not_taken_for_the_next_one() {
+    for extra in ["HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwrong", "\u{1}noise"] {
+        let backend = Played::new(move |before, _| match before {
+            0 => Play::AnswerThen(GOOD.to_string(), Duration::from_millis(5), extra.to_string()),
+            _ => Play::Answer(GOOD.to_string()),
+        });
+        let proxy = Proxy::before(&[&backend]);
+        for _ in 0..2 {
+            let reply = proxy.ask(&request("order", 9000));
+            assert_eq!((reply.status(), reply.body.as_slice()), (200, b"hello".as_slice()), "{extra}");
+        }
+        assert_eq!(backend.connections.load(Ordering::SeqCst), 2, "{extra}");
+    }
+}
+
+#[test]
+fn what_comes_ahead_of_an_answer_is_skipped() {
+    // The answer may follow long after: it has not begun with them.
+    let backend = Played::new(move |_, _| {
+        let ahead = "HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n";
+        Play::AnswerThen(ahead.to_string(), Duration::from_millis(1500), GOOD.to_string())
+    });
+    let proxy = Proxy::before(&[&backend]);
+    let reply = proxy.ask(&request("order", 19_000));
+    assert_eq!((reply.status(), reply.body.as_slice()), (200, b"hello".as_slice()));
+}
+
+#[test]
+fn a_report_that_cannot_be_read_is_ignored() {
+    for report in ["{", "[]", "{\"avg_ms\":\"x\"}", "{\"avg_ms\":-5}", "{\"avg_ms\":1e999}", "\u{1f}"] {
+        let text = format!("HTTP/1.1 200 OK\r\nX-Pressure: {report}\r\nContent-Length: 5\r\n\r\nhello");
+        let backend = Played::new(move |_, _| Play::Answer(text.clone()));
+        let proxy = Proxy::before(&[&backend]);
+        if report != "\u{1f}" {
+            assert_eq!(proxy.ask(&request("order", 9000)).status(), 200, "{report}");
+        }
+    }
+}
--- /dev/null
+++ b/tests/reload.rs
@@ -0,0 +1,51 @@
+//! SIGHUP: the configuration is read again, and the list comes from the discovery named there.
+
+mod common;
+
+use common::sockets::*;
+use serde_json::json;
+use std::sync::mpsc::channel;
+
+/// A discovery that has this list, whole, and nothing newer.
+fn having(generation: u64, backend: &Played) -> Played {
+    let all =
+        list(generation, true, &[entry(&format!("s-{generation}"), backend.address, "SERVING")]).to_string();
+    Played::new(move |_, message| match message.first.contains("since=") {
+        false => Play::Answer(answer("200 OK", &all)),
+        true => Play::Silence(channel().0),
+    })
+}
+
+#[test]
+fn on_sighup_the_list_comes_from_the_discovery_that_the_file_names() {
+    let backends = ["old", "new", "newest"].map(Played::good);
+    let mut config = config_of(&settings(), &known(&[&backends[0]]));
+    let first = quiet();
+    let mut proxy = Proxy::with(&config, first.address);
+    wait_for("watch", || first.count() == 1);
+    assert_eq!(proxy.ask(&request("look", 9000)).body, b"old");
+    // The versions of the next one are lower: they say nothing beside those of the first.
+    let mut discoveries = Vec::new();
+    for (generation, name) in [(7, "new"), (3, "newest")] {
+        let discovery = having(generation, &backends[1 + discoveries.len()]);
+        config["discovery"] = json!(discovery.address.to_string());
+        proxy.configure(&config);
+        proxy.signal("-HUP");
+        wait_for("list", || proxy.ask(&request("look", 9000)).body == name.as_bytes());
+        wait_for("watch", || discovery.count() >= 2);
+        let requests = discovery.requests.lock().unwrap().clone();
+        assert!(requests[0].first.starts_with("GET /api/targets HTTP"), "{}", requests[0].first);
+        assert!(requests[1].first.contains(&format!("since={generation}&")), "{}", requests[1].first);
+        discoveries.push(discovery);
+    }
+    // What can't be used changes nothing, also several times and during a stop.
+    for text in ["{", "{}", &config.to_string().replace("127.0.0.1:", "nowhere:")] {
+        proxy.configure_as(text);
+        proxy.signal("-HUP");
+        assert_eq!(proxy.ask(&request("look", 9000)).body, b"newest");
+    }
+    proxy.signal("-TERM");
+    proxy.signal("-HUP");
+    wait_for("exit", || proxy.child.try_wait().unwrap().is_some());
+    assert_eq!(proxy.child.wait().unwrap().code(), Some(0));
+}
