--- a/src/logic.rs
+++ b/src/logic.rs
@@ -22,7 +22,7 @@
 /// Memory of the send rate, in T1s of the longest class: the paper's weight, slots of T1 / 25.
 const RATE_MEMORY: f64 = 20.0;
 /// Calls beyond the usual number that chance explains, in roots of it, and where they last.
-const CHANCE: [f64; 2] = [3.5, 0.8];
+const CHANCE: [f64; 2] = [3.5, 0.5];
 /// At a busy balancer the root is small beside this part of the usual number, which stands instead.
 const USUAL_SPREAD: f64 = 0.35;
 /// It narrows by this for each root of mean excess
