--- a/src/logic.rs
+++ b/src/logic.rs
@@ -51,6 +51,10 @@
 const HEALTH_WEIGHT: f64 = 0.2;
 /// How much slower than normal a failed attempt makes its backend look.
 const FAILED_SLOWNESS: f64 = 8.0;
+/// A failure within this part of the normal answer time is no sign of load,
+const FAST_FAILURE: f64 = 0.5;
+/// and weighs this much.
+const FAST_FAILURE_WEIGHT: f64 = 0.5;
 /// A tenant's unused share is kept for so many seconds: quotas are given by the second.
 const SHARE_BURST: Time = 1.0;
 /// What is known of a backend is forgotten over this part of the memory of the send rate.
@@ -327,6 +331,11 @@
         self.by_id.len()
     }
 
+    /// Backends that are kept in mind.
+    pub fn backends_known(&self) -> usize {
+        self.by_backend.len()
+    }
+
     /// Decides what to do about `event`, which happens at `now`.
     pub fn handle(&mut self, now: Time, event: Event<'_>, actions: &mut Vec<Action>) {
         self.now = self.now.max(now);
@@ -809,9 +818,12 @@
             return;
         }
         let sample = if failed { FAILED_SLOWNESS } else { took / normal };
+        // One that fails at once is idle in between, and would be chosen again and again.
+        let fast = failed && took < FAST_FAILURE * normal;
+        let weight = if fast { FAST_FAILURE_WEIGHT } else { HEALTH_WEIGHT };
         let known = self.slowness(&self.backends[backend]);
         let b = &mut self.backends[backend];
-        b.slowness = known + HEALTH_WEIGHT * (sample.min(FAILED_SLOWNESS) - known);
+        b.slowness = known + weight * (sample.min(FAILED_SLOWNESS) - known);
         b.slowness_at = self.now;
     }
 
--- a/src/proxy/discovery.rs
+++ b/src/proxy/discovery.rs
@@ -23,7 +23,7 @@
 /// Bounds of the wait after a call that failed, where the module doesn't say when to ask again.
 const BACKOFF: [Duration; 2] = [Duration::from_millis(50), Duration::from_secs(1)];
 /// Largest list taken in.
-const MOST_BYTES: usize = 16 << 20;
+const MOST_BYTES: usize = 4 << 20;
 
 /// A list as discovery writes it.
 #[derive(Debug, Default, Deserialize)]
--- a/src/proxy/server.rs
+++ b/src/proxy/server.rs
@@ -42,6 +42,8 @@
     /// Idle connections are to be closed.
     closing: watch::Sender<bool>,
     clients: Rc<Clients>,
+    /// Accepted, and waiting for a place: a stop must not lose it.
+    in_hand: Cell<Option<TcpStream>>,
     /// Room for the bodies of requests.
     bodies: Rc<Budget>,
 }
@@ -75,6 +77,7 @@
             stopping: Cell::new(false),
             closing: watch::Sender::new(false),
             clients: Clients::new(caps.clients),
+            in_hand: Cell::new(None),
             bodies: Budget::new(caps.bodies),
         })
     }
@@ -93,6 +96,9 @@
             () = stopped => {}
         }
         // What the system has accepted for us is ours to answer too.
+        if let Some(stream) = self.in_hand.take() {
+            self.clone().serve(stream, self.clients.admit());
+        }
         while let Ok(Ok((stream, _))) = tokio::time::timeout(Duration::ZERO, listener.accept()).await {
             self.clone().serve(stream, self.clients.admit());
         }
@@ -124,10 +130,13 @@
                 }
             };
             // Waits with one in hand: nobody has to go before another has come.
+            self.in_hand.set(Some(stream));
             while !self.clients.make_room() && self.clients.crowded() {
                 self.clients.one_left(STEP).await;
             }
-            self.clone().serve(stream, self.clients.admit());
+            if let Some(stream) = self.in_hand.take() {
+                self.clone().serve(stream, self.clients.admit());
+            }
         }
     }
 
