--- a/tests/bad_clients.rs
+++ b/tests/bad_clients.rs
@@ -8,7 +8,6 @@
 use std::io::{BufReader, Read, Write};
 use std::net::TcpStream;
 use std::sync::atomic::Ordering;
-use std::sync::mpsc::channel;
 use std::time::{Duration, Instant};
 
 /// Until an error or the end of its connection, whichever comes first.
@@ -48,14 +47,7 @@
 
 #[test]
 fn a_connection_with_a_request_in_hand_is_not_closed_to_make_room() {
-    let (release, held) = channel::<()>();
-    let held = std::sync::Mutex::new(held);
-    let backend = Played::new(move |before, _| {
-        if before == 0 {
-            held.lock().unwrap().recv_timeout(LONG).unwrap();
-        }
-        Play::Answer(answer("200 OK", "hello"))
-    });
+    let (backend, release) = Played::held("hello");
     let mut config = config_of(&settings(), &known(&[&backend]));
     config["limits"]["sockets"] = json!(64);
     let proxy = Proxy::with(&config, quiet().address);
@@ -197,14 +189,7 @@
 
 #[test]
 fn the_id_of_an_open_request_neither_ends_nor_answers_it() {
-    let (release, held) = channel::<()>();
-    let held = std::sync::Mutex::new(held);
-    let backend = Played::new(move |before, _| {
-        if before == 0 {
-            held.lock().unwrap().recv_timeout(LONG).unwrap();
-        }
-        Play::Answer(answer("200 OK", "hello"))
-    });
+    let (backend, release) = Played::held("hello");
     let proxy = Proxy::before(&[&backend]);
     let text = request("order", 20_000);
     let mut first = proxy.connect();
--- a/tests/common/sockets.rs
+++ b/tests/common/sockets.rs
@@ -102,6 +102,19 @@
         Self::new(move |_, _| Play::Answer(answer("200 OK", name)))
     }
 
+    /// The same, but its first answer waits until it is let go.
+    pub fn held(name: &'static str) -> (Self, Sender<()>) {
+        let (release, held) = channel();
+        let held = Mutex::new(held);
+        let played = Self::new(move |before, _| {
+            if before == 0 {
+                held.lock().unwrap().recv_timeout(LONG).unwrap();
+            }
+            Play::Answer(answer("200 OK", name))
+        });
+        (played, release)
+    }
+
     pub fn count(&self) -> usize {
         self.requests.lock().unwrap().len()
     }
--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -11,9 +11,9 @@
 use serde_json::json;
 use std::io::Write;
 use std::net::TcpListener;
+use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::mpsc::channel;
-use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 #[test]
@@ -148,14 +148,7 @@
 
 #[test]
 fn sigterm_loses_nothing_that_was_taken() {
-    let (release, held) = channel::<()>();
-    let held = Mutex::new(held);
-    let backend = Played::new(move |before, _| {
-        if before == 0 {
-            held.lock().unwrap().recv_timeout(LONG).unwrap();
-        }
-        Play::Answer(answer("200 OK", "hello"))
-    });
+    let (backend, release) = Played::held("hello");
     let mut proxy = Proxy::before(&[&backend]);
     let mut idle = proxy.connect();
     assert_eq!(ask(&mut idle, "GET /-/ready HTTP/1.1\r\nHost: p\r\n\r\n").status(), 200);
