--- a/tests/bad_backends.rs
+++ b/tests/bad_backends.rs
@@ -75,13 +75,11 @@
 
 #[test]
 fn a_report_that_cannot_be_read_is_ignored() {
-    for report in ["{", "[]", "{\"avg_ms\":\"x\"}", "{\"avg_ms\":-5}", "{\"avg_ms\":1e999}", "\u{1f}"] {
+    for report in ["{", "[]", "{\"avg_ms\":\"x\"}", "{\"avg_ms\":-5}", "{\"avg_ms\":1e999}"] {
         let text = format!("HTTP/1.1 200 OK\r\nX-Pressure: {report}\r\nContent-Length: 5\r\n\r\nhello");
         let backend = Played::new(move |_, _| Play::Answer(text.clone()));
         let proxy = Proxy::before(&[&backend]);
-        if report != "\u{1f}" {
-            assert_eq!(proxy.ask(&request("order", 9000)).status(), 200, "{report}");
-        }
+        assert_eq!(proxy.ask(&request("order", 9000)).status(), 200, "{report}");
     }
 }
 
