Few calls a backend are no overload; requests wait at the entry; silent backends are shunned

Traced at every decision: the two entries refuse at 4 to 6 calls in flight, over 3 members and two balancers, so at 2 to 3 calls a backend, beyond a "usual" of 2.2; clients come back within 3 ms (they mostly don't heed Retry-After) and meet the same pressure.

At fault: `pressure`, which counts roots of the own calls and never asks how few calls that is for a backend; `arrive`, which refused at the first sight of it; `load`, which learnt of a backend that stands still only from ends and firings.

Shares are now counted when a request is sent: what waits and is refused takes nothing.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -33,6 +33,11 @@
 const EXCESS_MEMORY: f64 = 0.15;
 /// A member this many times slower than the best one says nothing of the fleet's load.
 const FAR_SLOWER: f64 = 2.5;
+/// So many calls in flight at each backend are no overload, however far beyond the usual. Guards
+/// against shedding by chance: where few balancers face few backends, one slow backend, spoilt
+/// answers or a brief jump bring four calls beyond a usual two, and clients who are refused come
+/// back at once and keep it up. It could do harm where backends can't hold as many.
+const FEW: f64 = 2.0;
 /// A call with less than this part of the normal answer time left would be given up half done.
 const HOPELESS: f64 = 0.6;
 /// T1 lies this many mean deviations above the mean answer time, as TCP's timer does.
@@ -59,6 +64,9 @@
 const SHARE_BURST: Time = 1.0;
 /// What is known of a backend is forgotten over this part of the memory of the send rate.
 const HEALTH_MEMORY: f64 = 0.5;
+/// Under pressure a request waits at the entry, up to this part of its patience, before it is
+/// turned away: where few calls are in flight the excess comes and goes within a few answers.
+const ENTRY_WAIT: f64 = 0.25;
 /// Least number of members of a subset.
 const SUBSET: usize = 2;
 /// The same at the entry, where more of them even out what each happens to get.
@@ -156,6 +164,8 @@
     slowness: f64,
     slowness_at: Time,
     answered_at: Time,
+    /// When it last showed that it works, or was given a call while it had none.
+    alive_at: Time,
     /// What may be sent to it while it is cold, in requests.
     cold: Bucket,
     /// How long a request takes it, by its reports.
@@ -182,6 +192,7 @@
 struct Call {
     id: RequestId,
     class: usize,
+    tenant: Option<usize>,
     arrived: Time,
     /// When its final answer is due at the latest.
     until: Time,
@@ -193,8 +204,10 @@
     attempts: Vec<Attempt>,
     /// The key that orders it, where its class asks for order.
     lane: Option<u64>,
-    /// It waits for its turn in the lane; no attempt of it has been sent.
+    /// It waits for its turn in the lane or at the entry; no attempt of it has been sent.
     held: bool,
+    /// Its place among those that come, 1 being the best: it waits while pressure is above that.
+    rank: f64,
     /// It was turned away for want of room, and waits to be sent again.
     turned_away: bool,
     /// The one of the two members drawn that was not taken; a repeat goes to it.
@@ -244,7 +257,9 @@
     now: Time,
     calls: SlotMap<Slot, Call>,
     by_id: HashMap<RequestId, Slot>,
-    /// Calls that wait for their turn, and those that were turned away.
+    /// Calls that wait at the entry, the best last.
+    queue: Vec<Slot>,
+    /// Calls that wait for their turn there or in a lane, and those that were turned away.
     held: usize,
     turned_away: usize,
     /// Mean excess of unanswered calls over a while, in roots of the usual number.
@@ -297,6 +312,7 @@
             now,
             calls: SlotMap::new(),
             by_id: HashMap::new(),
+            queue: Vec::new(),
             held: 0,
             turned_away: 0,
             excess: 0.0,
@@ -355,6 +371,7 @@
             Event::Probed { backend, report, .. } => self.take_report(backend, report),
             Event::List(update) => self.list(update, actions),
         }
+        self.let_in(actions);
     }
 
     // ---- A request arrives ----
@@ -372,17 +389,16 @@
         let t1 = self.t1(request.class, patience);
         let ahead = lane.and_then(|key| self.lanes.get(&key)).map_or(0, |lane| lane.queue.len());
         let needed = HOPELESS * self.normal[request.class].mean * (ahead + 1) as f64;
-        if patience <= needed || !self.admits(request.class, over) {
-            let retry_after = Some(t1.min(self.settings.max_retry_after)).filter(|wait| *wait > 0.0);
-            return actions.push(Action::Refuse { id: request.id, retry_after });
-        }
-        if let Some((_, left)) = request.tenant.and_then(|t| self.shares.get_mut(t)) {
-            left.room = (left.room - 1.0).max(0.0);
+        let rank = self.rank(request.class, over);
+        let waits = !self.admits(rank);
+        if patience <= needed || waits && lane.is_some() {
+            return actions.push(Action::Refuse { id: request.id, retry_after: self.retry_after(t1) });
         }
         let until = self.now + patience;
         let call = Call {
             id: request.id,
             class: request.class,
+            tenant: request.tenant,
             arrived: self.now,
             until,
             t1,
@@ -390,17 +406,24 @@
             timer_set: false,
             attempts: Vec::new(),
             lane,
-            held: lane.is_some(),
+            held: waits || lane.is_some(),
+            rank,
             turned_away: false,
             other: None,
         };
         let slot = self.calls.insert(call);
         self.by_id.insert(request.id, slot);
         actions.push(Action::Timer { at: until, token: token(slot, LAST) });
+        self.held += usize::from(self.calls[slot].held);
+        if waits {
+            let place = self.queue.partition_point(|s| self.calls[*s].rank < rank);
+            self.queue.insert(place, slot);
+            let at = self.now + ENTRY_WAIT * patience;
+            return actions.push(Action::Timer { at, token: token(slot, TURN) });
+        }
         let Some(key) = lane else {
             return self.begin(slot, actions);
         };
-        self.held += 1;
         if self.lanes.len() >= self.most_lanes {
             let now = self.now;
             self.lanes.retain(|_, l| !l.queue.is_empty() || l.out > 0 || l.rests_until > now);
@@ -414,6 +437,9 @@
     fn begin(&mut self, slot: Slot, actions: &mut Vec<Action>) {
         self.set_timer(slot, actions);
         self.sent.add(self.now, self.memory);
+        if let Some((_, left)) = self.calls[slot].tenant.and_then(|t| self.shares.get_mut(t)) {
+            left.room = (left.room - 1.0).max(0.0);
+        }
         let grown = self.grown;
         if self.subset_size() > grown && self.grown > grown {
             self.relist();
@@ -437,6 +463,11 @@
             let at = lane.rests_until;
             return actions.push(Action::Timer { at, token: token(slot, TURN) });
         }
+        self.take_turn(slot, actions);
+    }
+
+    /// Begins a call that was held.
+    fn take_turn(&mut self, slot: Slot, actions: &mut Vec<Action>) {
         self.held -= 1;
         let (now, class, until) = (self.now, self.calls[slot].class, self.calls[slot].until);
         let t1 = self.t1(class, until - now);
@@ -460,13 +491,15 @@
         over
     }
 
-    /// Sheds at the entry, where no work has been done yet: with the pressure that lowers p,
-    /// the requests of least worth for their work are refused.
-    fn admits(&mut self, class: usize, over: bool) -> bool {
-        let pressure = self.pressure();
-        if self.settings.tier > 0 || pressure <= 0.0 {
-            return true;
-        }
+    /// Sheds at the entry, where no work has been done yet: with the pressure that lowers p, the
+    /// requests of least worth for their work wait, and are refused if it lasts.
+    fn admits(&mut self, rank: f64) -> bool {
+        self.settings.tier > 0 || rank >= self.pressure()
+    }
+
+    /// The part of the requests that come that are worth less for their work than this one; those
+    /// worth the same draw lots.
+    fn rank(&mut self, class: usize, over: bool) -> f64 {
         let value = |class: usize, over: bool| {
             let share = if over { self.settings.over_share_worth } else { 1.0 };
             let work = self.normal[class].mean.max(self.settings.quantum);
@@ -484,8 +517,26 @@
                 same += if value(c, o == 1) == mine { rate } else { 0.0 };
             }
         }
-        let rank = (below + same * self.rng.random::<f64>()) / all.max(f64::MIN_POSITIVE);
-        rank >= pressure
+        (below + same * self.rng.random::<f64>()) / all.max(f64::MIN_POSITIVE)
+    }
+
+    /// Begins calls that wait at the entry, the best first, as far as the pressure lets them in.
+    /// Guards against refusals by chance: with four calls in flight one more or less is the
+    /// difference between calm and overload, and clients that are refused mostly come back at
+    /// once, to be refused again. It does harm where the pressure lasts: what is refused in the
+    /// end has then waited for nothing, which is why the wait is a small part of the patience.
+    fn let_in(&mut self, actions: &mut Vec<Action>) {
+        while let Some(&best) = self.queue.last()
+            && self.admits(self.calls[best].rank)
+        {
+            self.queue.pop();
+            self.take_turn(best, actions);
+        }
+    }
+
+    /// When a client that is refused should come again, where clients listen.
+    fn retry_after(&self, t1: Time) -> Option<Time> {
+        Some(t1.min(self.settings.max_retry_after)).filter(|wait| *wait > 0.0)
     }
 
     /// How far the unanswered calls exceed those that the rate of admitted calls and the
@@ -499,20 +550,34 @@
         self.excess = beyond + (self.excess - beyond) * keep;
         self.excess_at = self.now;
         let chance = (CHANCE[0] - NARROWING * (self.excess - CALM_EXCESS)).clamp(CHANCE[1], CHANCE[0]);
+        if self.each() <= FEW {
+            return 0.0;
+        }
         (beyond / chance - 1.0).clamp(0.0, 1.0)
     }
 
+    /// Calls in flight at each sound backend, if all balancers have as many as this one.
+    fn each(&self) -> f64 {
+        let sound = self.sound().count() as f64;
+        let sharing = (self.settings.instances * self.subset.len()) as f64 / self.listed.len().max(1) as f64;
+        self.crowd() * sharing.max(1.0) / sound.max(1.0)
+    }
+
     /// Calls in flight, but for those at members far slower than the best, which tell of bad
     /// backends and not of a fleet that has too much to do; those turned away for want of room
     /// count while they wait, copies of a call do not.
     fn crowd(&self) -> f64 {
-        let slow = |b: &usize| self.slowness(&self.backends[*b]);
-        let best = self.subset.iter().map(slow).fold(f64::INFINITY, f64::min);
-        let sound = self.subset.iter().filter(|b| slow(b) <= FAR_SLOWER * best);
-        let out = sound.map(|b| self.backends[*b].in_flight).sum::<usize>() + self.turned_away;
+        let out = self.sound().map(|b| self.backends[b].in_flight).sum::<usize>() + self.turned_away;
         out.min(self.by_id.len() - self.held) as f64
     }
 
+    /// The members that are not far slower than the best.
+    fn sound(&self) -> impl Iterator<Item = usize> {
+        let slow = |b: &usize| self.seen(&self.backends[*b]);
+        let best = self.subset.iter().map(slow).fold(f64::INFINITY, f64::min);
+        self.subset.iter().copied().filter(move |b| slow(b) <= FAR_SLOWER * best)
+    }
+
     /// T1 lies above the normal answer time and leaves room for a repeat in the time left.
     fn t1(&mut self, class: usize, patience: Time) -> Time {
         let (normal, most) = (&self.normal[class], T1_REACH * patience);
@@ -553,6 +618,15 @@
         if let (TURN, Some(key)) = (kind, self.calls[slot].lane) {
             return self.advance(key, actions);
         }
+        if kind == TURN {
+            // The pressure has lasted: refused at once, and before any work was done.
+            if self.calls[slot].held {
+                let (id, t1) = (self.calls[slot].id, self.calls[slot].t1);
+                actions.push(Action::Refuse { id, retry_after: self.retry_after(t1) });
+                self.finish(slot, None, actions);
+            }
+            return;
+        }
         if kind == LAST {
             // Its time is up. The time-out of its attempt finds the call gone, so that a hung
             // backend has to be noticed here.
@@ -605,6 +679,9 @@
         };
         let (now, until) = (self.now, self.calls[slot].until);
         let b = &mut self.backends[backend];
+        if b.in_flight == 0 {
+            b.alive_at = now;
+        }
         b.in_flight += 1;
         b.named += 1;
         b.cold.room -= 1.0;
@@ -717,6 +794,9 @@
         if let Some(&backend) = self.by_backend.get(&ended.backend) {
             let b = &mut self.backends[backend];
             b.in_flight = b.in_flight.saturating_sub(1);
+            if matches!(ended.outcome, Served | Error | Full | Reset) {
+                b.alive_at = self.now;
+            }
             self.take_report(ended.backend, ended.report);
             self.release_if_draining(backend, actions);
             if let Some(slot) = slot {
@@ -796,7 +876,10 @@
                 actions.push(Action::Cancel { id: call.id, attempt: i });
             }
         }
-        self.held -= usize::from(call.held);
+        if call.held {
+            self.held -= 1;
+            self.queue.retain(|s| *s != slot);
+        }
         self.turned_away -= usize::from(call.turned_away);
         let Some((key, lane)) = call.lane.and_then(|key| Some((key, self.lanes.get_mut(&key)?))) else {
             return;
@@ -821,7 +904,7 @@
         // One that fails at once is idle in between, and would be chosen again and again.
         let fast = failed && took < FAST_FAILURE * normal;
         let weight = if fast { FAST_FAILURE_WEIGHT } else { HEALTH_WEIGHT };
-        let known = self.slowness(&self.backends[backend]);
+        let known = self.seen(&self.backends[backend]);
         let b = &mut self.backends[backend];
         b.slowness = known + weight * (sample.min(FAILED_SLOWNESS) - known);
         b.slowness_at = self.now;
@@ -842,8 +925,21 @@
         alive
     }
 
-    /// What was seen of a backend fades, so that it is tried again.
+    /// What is known of it, or how long it has been silent with calls in flight, if that is worse.
+    /// Guards against backends that stand still, whatever the cause: one costly call on the only
+    /// core, a pause, a lost machine. Their calls end too late to tell, and until then new ones
+    /// would pile up behind them. One that is busy goes on answering, however many wait. It could
+    /// do harm where answers are rare and long: silence is then normal, at all members alike.
     fn slowness(&self, backend: &Backend) -> f64 {
+        let seen = self.seen(backend);
+        if backend.in_flight == 0 || self.wait.mean <= 0.0 {
+            return seen;
+        }
+        seen.max(((self.now - backend.alive_at) / self.wait.mean).min(FAILED_SLOWNESS))
+    }
+
+    /// What was seen of a backend fades, so that it is tried again.
+    fn seen(&self, backend: &Backend) -> f64 {
         let age = (self.now - backend.slowness_at) / (HEALTH_MEMORY * self.memory);
         1.0 + (backend.slowness - 1.0) * (-age).exp()
     }
@@ -912,6 +1008,7 @@
                 slowness: 1.0,
                 slowness_at: self.now,
                 answered_at: f64::NEG_INFINITY,
+                alive_at: self.now,
                 cold: fresh,
                 service: None,
             };
--- a/tests/bad_backends.rs
+++ b/tests/bad_backends.rs
@@ -6,7 +6,8 @@
 use serde_json::json;
 use std::io::{BufReader, Read, Write};
 use std::net::TcpListener;
-use std::sync::atomic::Ordering;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
 const GOOD: &str = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello";
@@ -111,3 +112,131 @@
         proxy.ask(&request("order", 9000)).status() == 200
     });
 }
+
+/// Settings of an entry whose requests have one attempt each, and must be answered in `aim` seconds.
+fn entry_with(aim: f64) -> serde_json::Value {
+    let mut settings = settings();
+    settings["tier"] = json!(0);
+    settings["caps"]["max-attempts"] = json!(1);
+    for class in settings["classes"].as_array_mut().unwrap() {
+        class["on-time"] = json!(aim);
+    }
+    settings
+}
+
+/// Backends that answer until `stuck` is set, and then not before `LONG`, or until it is taken back.
+fn sticking<const N: usize>(stuck: &Arc<AtomicBool>, took: Duration) -> [Played; N] {
+    std::array::from_fn(|_| {
+        let stuck = stuck.clone();
+        Played::new(move |_, _| {
+            std::thread::sleep(took);
+            let start = Instant::now();
+            while stuck.load(Ordering::SeqCst) && start.elapsed() < LONG {
+                std::thread::sleep(Duration::from_millis(5));
+            }
+            Play::Answer(GOOD.to_string())
+        })
+    })
+}
+
+fn total(backends: &[Played]) -> usize {
+    backends.iter().map(Played::count).sum()
+}
+
+#[test]
+fn calls_do_not_pile_up_behind_one_that_stands_still() {
+    // The other one goes on answering, and so may have more in flight than the silent one.
+    let stuck = Arc::new(AtomicBool::new(false));
+    let [bad] = sticking(&stuck, Duration::from_millis(50));
+    let [good] = sticking(&Arc::default(), Duration::from_millis(50));
+    let proxy = Proxy::start(&entry_with(20.0), &known(&[&bad, &good]), quiet().address);
+    let ask = || proxy.ask(&request("order", 19_000)).status();
+    wait_for("answer of each", || ask() == 200 && bad.count() > 1 && good.count() > 1);
+    stuck.store(true, Ordering::SeqCst);
+    std::thread::scope(|scope| {
+        let before = bad.count();
+        while bad.count() == before {
+            scope.spawn(ask);
+            std::thread::sleep(Duration::from_millis(200));
+        }
+        std::thread::sleep(Duration::from_secs(1));
+        for _ in 0..5 {
+            let asked = [(); 3].map(|()| scope.spawn(ask));
+            assert!(asked.into_iter().all(|asked| asked.join().unwrap() == 200));
+        }
+        assert_eq!(bad.count(), before + 1);
+        stuck.store(false, Ordering::SeqCst);
+    });
+}
+
+#[test]
+fn a_few_calls_a_backend_are_no_overload_however_far_beyond_the_usual() {
+    let stuck = Arc::new(AtomicBool::new(false));
+    let backends: [Played; 4] = sticking(&stuck, Duration::ZERO);
+    let mut settings = entry_with(6.0);
+    settings["n-instances"] = json!(2);
+    let proxy = Proxy::start(&settings, &known(&backends.each_ref()), quiet().address);
+    let ask = || proxy.ask(&request("order", 19_000)).status();
+    (0..30).for_each(|_| assert_eq!(ask(), 200));
+    stuck.store(true, Ordering::SeqCst);
+    std::thread::scope(|scope| {
+        for more in 1..=4 {
+            scope.spawn(ask);
+            wait_for("call", || total(&backends) == 30 + more);
+        }
+        // So many in flight for so long are an excess that lasts.
+        std::thread::sleep(Duration::from_secs(3));
+        let fifth = scope.spawn(ask);
+        let start = Instant::now();
+        while total(&backends) < 35 && start.elapsed() < Duration::from_secs(10) {
+            std::thread::sleep(Duration::from_millis(5));
+        }
+        stuck.store(false, Ordering::SeqCst);
+        assert_eq!(fifth.join().unwrap(), 200);
+    });
+}
+
+#[test]
+fn a_jam_that_passes_soon_costs_no_refusals() {
+    let stuck = Arc::new(AtomicBool::new(false));
+    let backends: [Played; 1] = sticking(&stuck, Duration::ZERO);
+    let proxy = Proxy::start(&entry_with(20.0), &known(&backends.each_ref()), quiet().address);
+    let ask = || proxy.ask(&request("order", 19_000)).status();
+    (0..30).for_each(|_| assert_eq!(ask(), 200));
+    stuck.store(true, Ordering::SeqCst);
+    std::thread::scope(|scope| {
+        let asked: Vec<_> = (0..30).map(|_| scope.spawn(ask)).collect();
+        wait_for("calls", || total(&backends) > 32);
+        // Time for all of them to come in, and far less than they may wait.
+        std::thread::sleep(Duration::from_millis(500));
+        // Not all are sent to the backend that is jammed.
+        assert!(total(&backends) < 55, "{}", total(&backends));
+        stuck.store(false, Ordering::SeqCst);
+        assert!(asked.into_iter().all(|asked| asked.join().unwrap() == 200));
+    });
+}
+
+#[test]
+fn a_jam_that_lasts_is_answered_long_before_the_client_gives_up() {
+    let stuck = Arc::new(AtomicBool::new(false));
+    let backends: [Played; 1] = sticking(&stuck, Duration::ZERO);
+    let proxy = Proxy::start(&entry_with(4.0), &known(&backends.each_ref()), quiet().address);
+    let ask = || {
+        let start = Instant::now();
+        let reply = proxy.ask(&request("order", 19_000));
+        (reply.status(), reply.header("retry-after").is_some(), start.elapsed())
+    };
+    (0..30).for_each(|_| assert_eq!(ask().0, 200));
+    stuck.store(true, Ordering::SeqCst);
+    std::thread::scope(|scope| {
+        let asked: Vec<_> = (0..30).map(|_| scope.spawn(ask)).collect();
+        let replies = asked.into_iter().map(|asked| asked.join().unwrap());
+        let refused: Vec<_> = replies.filter(|(status, ..)| [429, 503].contains(status)).collect();
+        stuck.store(false, Ordering::SeqCst);
+        assert!(refused.len() > 10, "{refused:?}");
+        assert!(
+            refused.iter().all(|(_, told, took)| *told && *took < Duration::from_secs(10)),
+            "{refused:?}"
+        );
+    });
+}
