After SIGTERM clients are served for half of the time to SIGKILL, not told to close at once

The module gave no failure then and the backends were nearly idle from 16 to 18 s; the failures are clients that find no proxy. Of two, one is told to stop at 13.0 s, is killed at 16.5 and back at 17.1 s; the other is told at 16.0 s, went on for 0.55 s, said `Connection: close` with each answer and closed what was idle.

At fault: LINGER and `Connection: close` in `proxy/server.rs`. Connections that a client has go on being served for half of the time to SIGKILL, which the operators state; what is taken after SIGTERM gets no more time than is left to SIGKILL.

--- a/src/proxy/server.rs
+++ b/src/proxy/server.rs
@@ -5,7 +5,7 @@
 use super::engine::{Answer, Engine};
 use super::limits::{Budget, Caps, MOST_HEAD};
 use super::request::{self, Unfit};
-use crate::{RequestId, Settings};
+use crate::{RequestId, Settings, Time};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -21,9 +21,19 @@
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
+use tokio::time::Instant;
 
-/// How long after SIGTERM clients are still accepted: the front goes on for a moment.
-const LINGER: Duration = Duration::from_millis(550);
+/// SIGKILL follows SIGTERM after the longest deadline, or this if that is less,
+const LONGEST: Duration = Duration::from_secs(3);
+/// and so much more.
+const MORE: Duration = Duration::from_millis(700);
+/// What is taken after SIGTERM is answered so long before SIGKILL.
+const SPARE: Duration = Duration::from_millis(200);
+/// Part of the time from SIGTERM to SIGKILL in which clients are served as ever, on connections
+/// that they have and on new ones. Guards against a time with no proxy at all: in a rolling
+/// restart the front may not have taken in the one before yet. It could do harm where the time to
+/// SIGKILL is much shorter than the operators state, as what is taken late is then lost.
+const LINGER: f64 = 0.5;
 /// So many steps without a request in hand, after that, and connections are no longer waited for.
 const IDLE_STEPS: usize = 10;
 const STEP: Duration = Duration::from_millis(50);
@@ -37,8 +47,8 @@
     engine: Rc<Engine>,
     settings: Settings,
     wire: WireSettings,
-    /// SIGTERM has come.
-    stopping: Cell<bool>,
+    /// When SIGTERM came, if it has.
+    stopping: Cell<Option<Instant>>,
     /// Idle connections are to be closed.
     closing: watch::Sender<bool>,
     clients: Rc<Clients>,
@@ -74,7 +84,7 @@
             engine,
             settings,
             wire,
-            stopping: Cell::new(false),
+            stopping: Cell::new(None),
             closing: watch::Sender::new(false),
             clients: Clients::new(caps.clients),
             in_hand: Cell::new(None),
@@ -82,13 +92,19 @@
         })
     }
 
-    /// Serves until `stop`, then goes on for a moment, answers all that was taken, and returns.
+    /// From SIGTERM to SIGKILL.
+    fn notice(&self) -> Duration {
+        let longest = self.settings.classes.iter().map(|c| c.deadline).fold(0.0, Time::max);
+        Duration::try_from_secs_f64(longest).map_or(LONGEST, |longest| longest.min(LONGEST)) + MORE
+    }
+
+    /// Serves until `stop`, then goes on for a while, answers all that was taken, and returns.
     pub async fn run(self: Rc<Self>, listener: TcpListener, stop: impl Future<Output = ()>) {
         let accepting = self.clone().accept(&listener);
         let stopped = async {
             stop.await;
-            self.stopping.set(true);
-            tokio::time::sleep(LINGER).await;
+            self.stopping.set(Some(Instant::now()));
+            tokio::time::sleep(self.notice().mul_f64(LINGER)).await;
         };
         tokio::select! {
             () = accepting => {}
@@ -152,7 +168,7 @@
                 // What is wrong once is not given another try on the same connection: the rest of
                 // it may be anything, and each try has its price.
                 let wrong = reply.status().is_client_error();
-                if full || wrong || server.stopping.get() {
+                if full || wrong || *server.closing.borrow() {
                     reply.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
                 }
                 Ok::<_, Infallible>(reply)
@@ -178,13 +194,13 @@
 
     async fn reply(&self, request: hyper::Request<Incoming>, client: &Client, full: bool) -> Reply {
         if request.uri().path() == "/-/ready" {
-            return match self.engine.listed() && !self.stopping.get() {
+            return match self.engine.listed() && self.stopping.get().is_none() {
                 true => plain(StatusCode::OK, "ready\n"),
                 false => plain(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
             };
         }
         let until = client.read_until();
-        let asked = match request::read(request, &self.settings, &self.wire, &self.bodies, until).await {
+        let mut asked = match request::read(request, &self.settings, &self.wire, &self.bodies, until).await {
             Ok(asked) => asked,
             Err(unfit) => return refusal(&unfit),
         };
@@ -193,6 +209,10 @@
         if full {
             return plain(StatusCode::SERVICE_UNAVAILABLE, "too many connections\n");
         }
+        if let Some(stopping) = self.stopping.get() {
+            let left = (stopping + self.notice() - SPARE).saturating_duration_since(Instant::now());
+            asked.request.budget = asked.request.budget.min(left.as_secs_f64());
+        }
         let Some((id, answer)) = self.engine.request(asked.txn, asked.request, asked.payload) else {
             return plain(StatusCode::BAD_REQUEST, "X-Txn is in use\n");
         };
