Untie the engine from HTTP, discovery and configuration: attempts by a trait, lists as values

Need: a second front and other sources of lists must use the same engine, and src/proxy had a circle: backend, engine, discovery and config each used the next.

Change, with no change of behaviour: src/engine knows no protocol and no source of lists. An Upstream makes one attempt and says exactly how it ended; News of the list come as values; the module's wishes for the list go out as values. The drain gate is the engine's own (Gate), so that it holds for every protocol. src/proxy is the HTTP front: peer.rs one connection, backend.rs backends, listing.rs lists as discovery writes them.

--- a/src/proxy/engine.rs
+++ b/src/engine/mod.rs
@@ -1,24 +1,25 @@
-//! The one place where the module meets the sockets: its clock, its timers, the open requests
-//! and their attempts. Events become calls of the module, its actions become I/O, and every
+//! The one place where the module meets the world: its clock, its timers, the open requests
+//! and their attempts. It knows no protocol and no source of lists: attempts are made by an
+//! [`Upstream`], and [`News`] of the list come as values. Events become calls of the module, its actions become I/O, and every
 //! request gets exactly one final answer.
 
-use super::backend::{self, Done, Endpoint, Served};
-use super::config::WireSettings;
-use super::discovery::{Discovery, Listed, News};
-use super::limits::Budget;
+mod clock;
+mod list;
+mod upstream;
+
+pub use clock::Clock;
+pub use list::{Ask, Listed, News};
+pub use upstream::{Attempt, Done, Gate, Upstream};
+
 use crate::{
     Action, BackendId, Balancer, Ended, Entry, Event, ListUpdate, Outcome, Report, Request, RequestId,
     Settings, Status, Time,
 };
-use bytes::Bytes;
-use http_body_util::Full;
-use hyper::header::{HeaderMap, HeaderValue};
-use hyper::{Method, Uri};
 use std::cell::{Cell, RefCell};
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap, HashSet, VecDeque};
 use std::rc::{Rc, Weak};
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 use tokio::sync::{Notify, oneshot};
 use tokio::task::AbortHandle;
 
@@ -32,65 +33,10 @@
 /// How often idle connections are looked through.
 const SWEEP: Duration = Duration::from_secs(1);
 
-/// The module's clock: seconds since the proxy started.
-#[derive(Clone, Copy, Debug)]
-pub struct Clock {
-    start: Instant,
-    unix: Time,
-}
-
-impl Clock {
-    /// A clock that starts now.
-    pub fn start() -> Self {
-        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_secs_f64();
-        Self { start: Instant::now(), unix }
-    }
-
-    /// The time.
-    pub fn now(&self) -> Time {
-        self.start.elapsed().as_secs_f64()
-    }
-
-    /// A Unix time, in seconds. The same for the same input as long as the proxy runs.
-    pub fn of_unix(&self, unix: Time) -> Time {
-        unix - self.unix
-    }
-
-    fn at(&self, time: Time) -> tokio::time::Instant {
-        (self.start + Duration::try_from_secs_f64(time).unwrap_or_default()).into()
-    }
-}
-
-/// A request as it goes on to backends.
-#[derive(Debug)]
-pub struct Payload {
-    /// Its method.
-    pub method: Method,
-    /// Path and query.
-    pub uri: Uri,
-    /// The headers that go on.
-    pub headers: HeaderMap,
-    /// Its body.
-    pub body: Bytes,
-}
-
-impl Payload {
-    /// The request for an attempt that is given up after `wait` seconds.
-    pub fn request(&self, wait: Time) -> hyper::Request<Full<Bytes>> {
-        let mut request = hyper::Request::new(Full::new(self.body.clone()));
-        *request.method_mut() = self.method.clone();
-        *request.uri_mut() = self.uri.clone();
-        *request.headers_mut() = self.headers.clone();
-        let wait = HeaderValue::from((wait.max(0.0) * 1000.0) as u64);
-        request.headers_mut().insert("x-remaining-ms", wait);
-        request
-    }
-}
-
 /// The final answer to a request.
-pub enum Answer {
+pub enum Answer<R> {
     /// What a backend answered.
-    Served(Served),
+    Served(R),
     /// Not done; trying again is harmless, after so long if that is said.
     Refused(Option<Time>),
     /// It may have been done.
@@ -129,11 +75,11 @@
     List(News),
 }
 
-struct Open {
+struct Open<U: Upstream> {
     /// The id that the client gave it.
     txn: u64,
-    answer: oneshot::Sender<Answer>,
-    payload: Rc<Payload>,
+    answer: oneshot::Sender<Answer<U::Reply>>,
+    payload: Rc<U::Payload>,
     until: Time,
     attempts: usize,
 }
@@ -145,59 +91,71 @@
     task: AbortHandle,
 }
 
-struct State {
+/// A listed backend: what the list allows, and the connections to it.
+struct Known<U: Upstream> {
+    gate: Rc<Gate>,
+    endpoint: Rc<U::Endpoint>,
+}
+
+struct State<U: Upstream> {
     balancer: Balancer,
     told: VecDeque<Told>,
     timers: BinaryHeap<Reverse<(At, u64, Due)>>,
     timers_set: u64,
     /// Requests without a final answer, by a number that is never used twice: the ids of clients
     /// may come again, while an attempt of an answered request of that id is still out.
-    open: HashMap<RequestId, Open>,
+    open: HashMap<RequestId, Open<U>>,
     /// The clients' ids of those.
     in_use: HashSet<u64>,
     requests: u64,
     running: HashMap<(RequestId, usize), Running>,
-    endpoints: HashMap<BackendId, Rc<Endpoint>>,
+    endpoints: HashMap<BackendId, Known<U>>,
 }
 
-/// Drives the module.
-pub struct Engine {
-    this: Weak<Engine>,
-    state: RefCell<State>,
+/// Where wishes for the list go.
+type Source = Box<dyn Fn(Ask)>;
+
+/// What bounds an engine besides the module's settings.
+#[derive(Clone, Copy, Debug)]
+pub struct Bounds {
+    /// Nothing new to a backend this long after the news that it drains or is gone.
+    pub drain_grace: Duration,
+    /// Requests that may be open at once; what comes beyond is refused.
+    pub max_open: usize,
+}
+
+/// Drives the module, with one kind of backends.
+pub struct Engine<U: Upstream> {
+    this: Weak<Self>,
+    state: RefCell<State<U>>,
+    upstream: U,
     clock: Clock,
     timer_set: Notify,
     /// How late timers have fired of late: as long may a request have waited to be read.
     lag: Cell<Time>,
     listed: Cell<bool>,
-    discovery: RefCell<Weak<Discovery>>,
-    budget: Rc<Budget>,
-    connect_timeout: Duration,
-    idle_close: Duration,
+    /// Where the module's wishes for the list go.
+    source: RefCell<Option<Source>>,
     drain_grace: Time,
     max_open: usize,
     max_attempts: usize,
-    probe_path: &'static str,
 }
 
-impl Engine {
-    /// An engine with a module of its own, and its timers running. At most `connections` to
-    /// backends are open at once.
-    pub fn start(settings: Settings, wire: &WireSettings, seed: u64, connections: usize) -> Rc<Self> {
+impl<U: Upstream> Engine<U> {
+    /// An engine with a module of its own, and its timers running.
+    pub fn start(settings: Settings, bounds: Bounds, seed: u64, upstream: U) -> Rc<Self> {
         let clock = Clock::start();
         let engine = Rc::new_cyclic(|this| Self {
             this: this.clone(),
+            upstream,
             clock,
             timer_set: Notify::new(),
             lag: Cell::new(0.0),
             listed: Cell::new(false),
-            discovery: RefCell::default(),
-            budget: Budget::new(connections),
-            connect_timeout: wire.connect_timeout,
-            idle_close: wire.idle_close,
-            drain_grace: wire.drain_grace.as_secs_f64(),
-            max_open: wire.max_open,
+            source: RefCell::default(),
+            drain_grace: bounds.drain_grace.as_secs_f64(),
+            max_open: bounds.max_open,
             max_attempts: settings.max_attempts,
-            probe_path: if settings.probe_for_reports { "/-/load" } else { "/-/healthy" },
             state: RefCell::new(State {
                 balancer: Balancer::new(clock.now(), seed, settings),
                 told: VecDeque::new(),
@@ -220,9 +178,10 @@
         &self.clock
     }
 
-    /// Whom to ask for the list.
-    pub fn set_discovery(&self, discovery: &Rc<Discovery>) {
-        *self.discovery.borrow_mut() = Rc::downgrade(discovery);
+    /// Hands the module's wishes for the list to `source`. It is called while the engine is at
+    /// work, and must not call back.
+    pub fn asks(&self, source: impl Fn(Ask) + 'static) {
+        *self.source.borrow_mut() = Some(Box::new(source));
     }
 
     /// It has been listed, and not been gone for longer than sends to it may take.
@@ -246,8 +205,8 @@
         &self,
         txn: u64,
         mut request: Request,
-        payload: Payload,
-    ) -> Option<(RequestId, oneshot::Receiver<Answer>)> {
+        payload: U::Payload,
+    ) -> Option<(RequestId, oneshot::Receiver<Answer<U::Reply>>)> {
         let (answer, receiver) = oneshot::channel();
         let mut state = self.state.borrow_mut();
         if state.in_use.contains(&txn) {
@@ -283,48 +242,56 @@
         }
     }
 
-    /// News of the list.
+    /// News of the list, from whichever source.
     pub fn news(&self, news: News) {
         let mut state = self.state.borrow_mut();
-        let now = self.clock.now();
+        let last_send = self.clock.now() + GRACE_USED * self.drain_grace;
         let listed: &[Listed] = match &news {
             News::Full(list) | News::Remembered(list) => {
-                let gone = |id: &BackendId| !list.iter().any(|l| l.entry.id == *id);
-                for (_, endpoint) in state.endpoints.iter().filter(|(id, _)| gone(id)) {
-                    endpoint.end(now + GRACE_USED * self.drain_grace);
-                }
+                let named: HashSet<BackendId> = list.iter().map(|l| l.entry.id).collect();
+                let gone = state.endpoints.iter().filter(|(id, _)| !named.contains(id));
+                gone.for_each(|(_, known)| self.end(known, last_send));
                 list
             }
             News::Changes(list) => list,
             News::Refused => &[],
         };
-        let last_send = now + GRACE_USED * self.drain_grace;
         for Listed { entry, address } in listed {
             if entry.status == Status::Gone {
-                state.endpoints.get(&entry.id).into_iter().for_each(|e| e.end(last_send));
+                state.endpoints.get(&entry.id).into_iter().for_each(|known| self.end(known, last_send));
                 continue;
             }
             let drained = (entry.status != Status::InService).then_some(last_send);
-            let new = || {
-                let budget = self.budget.clone();
-                Rc::new(Endpoint::new(*address, budget, self.connect_timeout, self.idle_close))
-            };
-            state.endpoints.entry(entry.id).or_insert_with(new).update(*address, drained);
+            let known = state.endpoints.entry(entry.id).or_insert_with(|| Known {
+                gate: Rc::default(),
+                endpoint: Rc::new(self.upstream.endpoint(*address)),
+            });
+            self.upstream.moved(&known.endpoint, *address);
+            if drained.is_some() {
+                self.upstream.release(&known.endpoint);
+            }
+            known.gate.update(drained);
         }
         self.listed.set(self.listed.get() || listed.iter().any(|l| l.entry.status == Status::InService));
         state.told.push_back(Told::List(news));
         self.decide(state);
     }
 
+    /// A backend is gone from the list.
+    fn end(&self, known: &Known<U>, last_send: Time) {
+        self.upstream.release(&known.endpoint);
+        known.gate.end(last_send);
+    }
+
     /// An attempt has ended by itself.
-    fn attempt_done(&self, id: RequestId, attempt: usize, done: Done) {
+    fn attempt_done(&self, id: RequestId, attempt: usize, done: Done<U::Reply>) {
         let mut state = self.state.borrow_mut();
         self.ended(&mut state, id, attempt, done);
         self.decide(state);
     }
 
     /// Tells the module of the end of an attempt, once, and the client of the first answer.
-    fn ended(&self, state: &mut State, id: RequestId, attempt: usize, done: Done) {
+    fn ended(&self, state: &mut State<U>, id: RequestId, attempt: usize, done: Done<U::Reply>) {
         let Some(running) = state.running.remove(&(id, attempt)) else {
             return; // ended otherwise before
         };
@@ -352,7 +319,7 @@
     }
 
     /// Lets the module decide on all that it has not been told yet.
-    fn decide(&self, mut state: std::cell::RefMut<'_, State>) {
+    fn decide(&self, mut state: std::cell::RefMut<'_, State<U>>) {
         let mut actions = Vec::new();
         while let Some(told) = state.told.pop_front() {
             let now = self.clock.now();
@@ -385,31 +352,35 @@
         }
     }
 
-    fn act(&self, state: &mut State, action: Action, now: Time) {
+    fn act(&self, state: &mut State<U>, action: Action, now: Time) {
         match action {
             Action::Send { id, backend, timeout } => self.send(state, id, backend, timeout, now),
             Action::Cancel { id, attempt } => {
-                let done = Done { outcome: Outcome::Cancelled, served: None, report: None };
-                self.ended(state, id, attempt, done);
+                self.ended(state, id, attempt, Done::without_answer(Outcome::Cancelled));
             }
             Action::Refuse { id, retry_after } => answer(state, id, Answer::Refused(retry_after)),
             Action::Fail { id } => answer(state, id, Answer::Failed),
             Action::Timer { at, token } => self.set_timer(state, at, Due::Token(token)),
             Action::Probe(backend) => self.probe(state, backend),
             Action::Release(backend) => {
-                state.endpoints.get(&backend).into_iter().for_each(|e| e.release());
+                let known = state.endpoints.get(&backend);
+                known.into_iter().for_each(|known| self.upstream.release(&known.endpoint));
             }
-            Action::Watch(on) => self.discovery.borrow().upgrade().into_iter().for_each(|d| d.watch(on)),
-            Action::Fetch => self.discovery.borrow().upgrade().into_iter().for_each(|d| d.fetch()),
+            Action::Watch(on) => self.ask(Ask::Watch(on)),
+            Action::Fetch => self.ask(Ask::Fetch),
             Action::Log(text) => eprintln!("{text}"),
         }
     }
 
-    fn send(&self, state: &mut State, id: RequestId, backend: BackendId, timeout: Time, now: Time) {
-        let endpoint = state.endpoints.get(&backend).cloned();
+    fn ask(&self, ask: Ask) {
+        self.source.borrow().iter().for_each(|source| source(ask));
+    }
+
+    fn send(&self, state: &mut State<U>, id: RequestId, backend: BackendId, timeout: Time, now: Time) {
+        let known = state.endpoints.get(&backend).map(|known| (known.gate.clone(), known.endpoint.clone()));
         let most = self.max_attempts;
         let open = state.open.get_mut(&id).filter(|open| open.attempts < most);
-        let (Some(open), Some(endpoint), Some(engine)) = (open, endpoint, self.this.upgrade()) else {
+        let (Some(open), Some((gate, endpoint)), Some(engine)) = (open, known, self.this.upgrade()) else {
             let attempt = state.open.get(&id).map_or(0, |open| open.attempts);
             return state.told.push_back(Told::Event(Event::Outcome(Ended {
                 id,
@@ -421,18 +392,19 @@
                 report: None,
             })));
         };
-        if self.budget.full() {
+        if self.upstream.full() {
             // Room for a connection that may be needed, at the cost of one that is not.
-            let idle = |e: &&Rc<Endpoint>| e.idle_since().is_some();
-            let longest = state.endpoints.values().filter(idle).min_by_key(|e| e.idle_since());
-            longest.into_iter().for_each(|e| e.evict());
+            let idle =
+                |known: &Known<U>| Some((self.upstream.idle_since(&known.endpoint)?, known.endpoint.clone()));
+            let longest = state.endpoints.values().filter_map(idle).min_by_key(|(since, _)| *since);
+            longest.into_iter().for_each(|(_, endpoint)| self.upstream.evict(&endpoint));
         }
         let attempt = open.attempts;
         open.attempts += 1;
         let until = if timeout == 0.0 { open.until } else { (now + timeout).min(open.until) };
         let written = Rc::new(Cell::new(false));
-        let (payload, clock) = (open.payload.clone(), self.clock);
-        let attempted = backend::attempt(endpoint, payload, clock, until, written.clone());
+        let made = Attempt { gate, clock: self.clock, until, written: written.clone() };
+        let attempted = self.upstream.attempt(endpoint, open.payload.clone(), made);
         let task = tokio::task::spawn_local(async move {
             let done = attempted.await;
             engine.attempt_done(id, attempt, done);
@@ -442,18 +414,19 @@
         self.set_timer(state, until, Due::Attempt(id, attempt));
     }
 
-    fn probe(&self, state: &State, backend: BackendId) {
-        if let (Some(endpoint), Some(engine)) = (state.endpoints.get(&backend), self.this.upgrade()) {
-            let probed = backend::probe(endpoint.clone(), self.probe_path, self.clock);
+    fn probe(&self, state: &State<U>, backend: BackendId) {
+        if let (Some(known), Some(engine)) = (state.endpoints.get(&backend), self.this.upgrade()) {
+            let (gate, written) = (known.gate.clone(), Rc::default());
+            let made = Attempt { gate, clock: self.clock, until: Time::INFINITY, written };
+            let probed = self.upstream.probe(known.endpoint.clone(), made);
             tokio::task::spawn_local(async move {
                 let done = probed.await;
-                let body = done.served.as_ref().and_then(|s| backend::report(&s.body));
-                engine.probed(backend, done.outcome, done.report.or(body));
+                engine.probed(backend, done.outcome, done.report);
             });
         }
     }
 
-    fn set_timer(&self, state: &mut State, at: Time, due: Due) {
+    fn set_timer(&self, state: &mut State<U>, at: Time, due: Due) {
         let first = state.timers.peek().is_none_or(|Reverse((first, ..))| at < first.0);
         state.timers_set += 1;
         state.timers.push(Reverse((At(at), state.timers_set, due)));
@@ -491,7 +464,7 @@
                 Due::Attempt(id, attempt) => {
                     let written = state.running.get(&(id, attempt)).is_some_and(|r| r.written.get());
                     let outcome = if written { Outcome::Timeout } else { Outcome::NoConnection };
-                    self.ended(&mut state, id, attempt, Done { outcome, served: None, report: None });
+                    self.ended(&mut state, id, attempt, Done::without_answer(outcome));
                 }
                 // The module has not answered in time: the client must not be left without.
                 Due::Request(id) => {
@@ -512,22 +485,24 @@
             let mut state = self.state.borrow_mut();
             // Where backends are ever new, the gone ones must not be kept. The map's handle is the
             // last one when no attempt or probe is out.
-            let ended = |e: &Rc<Endpoint>| Rc::strong_count(e) == 1 && e.forgettable(&self.clock);
-            state.endpoints.retain(|_, e| !ended(e));
-            state.endpoints.values().for_each(|e| e.sweep());
+            let ended = |known: &Known<U>| {
+                Rc::strong_count(&known.endpoint) == 1 && known.gate.forgettable(&self.clock)
+            };
+            state.endpoints.retain(|_, known| !ended(known));
+            state.endpoints.values().for_each(|known| self.upstream.sweep(&known.endpoint));
         }
     }
 }
 
 /// Takes out a request that has its final answer or wants none.
-fn close(state: &mut State, id: RequestId) -> Option<Open> {
+fn close<U: Upstream>(state: &mut State<U>, id: RequestId) -> Option<Open<U>> {
     let open = state.open.remove(&id)?;
     state.in_use.remove(&open.txn);
     Some(open)
 }
 
 /// Gives a request its final answer, if it has had none.
-fn answer(state: &mut State, id: RequestId, answer: Answer) {
+fn answer<U: Upstream>(state: &mut State<U>, id: RequestId, answer: Answer<U::Reply>) {
     if let Some(open) = close(state, id) {
         let _ = open.answer.send(answer); // if it has left, its guard tells
     }
--- /dev/null
+++ b/src/engine/upstream.rs
@@ -0,0 +1,128 @@
+//! What the engine needs of a kind of backend: to make one attempt, and to say exactly how it
+//! ended. HTTP implements it in `proxy/backend.rs`; other protocols do so beside it.
+
+use super::clock::Clock;
+use crate::{Outcome, Report, Time};
+use std::cell::Cell;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use tokio::time::Instant;
+
+/// When sends to a backend must end, and whether it is gone: the engine sets it by the list, and
+/// an attempt asks it right before its first byte goes out.
+#[derive(Debug, Default)]
+pub struct Gate {
+    /// Set while it drains or is gone.
+    last_send: Cell<Option<Time>>,
+    /// The list says so, or no longer names it.
+    gone: Cell<bool>,
+}
+
+impl Gate {
+    /// What the list now says: nothing against it, or when sends must end. Hearing of the same
+    /// drain again doesn't extend the grace.
+    pub fn update(&self, last_send: Option<Time>) {
+        let earlier = self.last_send.get().filter(|_| last_send.is_some());
+        self.last_send.set(earlier.or(last_send));
+        self.gone.set(false);
+    }
+
+    /// It is gone from the list: sends must end by `last_send`.
+    pub fn end(&self, last_send: Time) {
+        self.update(Some(last_send));
+        self.gone.set(true);
+    }
+
+    /// Something new may be sent now.
+    pub fn may_send(&self, clock: &Clock) -> bool {
+        self.last_send.get().is_none_or(|last| clock.now() < last)
+    }
+
+    /// It is gone, and its grace is over.
+    pub fn forgettable(&self, clock: &Clock) -> bool {
+        self.gone.get() && !self.may_send(clock)
+    }
+}
+
+/// What the engine gives an attempt besides its payload.
+#[derive(Clone, Debug)]
+pub struct Attempt {
+    /// To be asked right before the first byte goes out: where it says no, the attempt ends with
+    /// [`Outcome::NoConnection`].
+    pub gate: Rc<Gate>,
+    /// The engine's clock.
+    pub clock: Clock,
+    /// When the engine stops waiting, at the latest.
+    pub until: Time,
+    /// To be set as soon as any of the request may have gone out, and back where it is known that
+    /// it can't have run: from then on a break may hide a request that runs.
+    pub written: Rc<Cell<bool>>,
+}
+
+/// How an attempt or probe ended.
+#[derive(Debug)]
+pub struct Done<R> {
+    /// The outcome.
+    pub outcome: Outcome,
+    /// The answer, if it was served.
+    pub served: Option<R>,
+    /// The load report that came along.
+    pub report: Option<Report>,
+}
+
+impl<R> Done<R> {
+    /// An end that brought nothing.
+    pub fn without_answer(outcome: Outcome) -> Self {
+        Self { outcome, served: None, report: None }
+    }
+}
+
+/// A kind of backend. Everything here runs on the engine's thread.
+pub trait Upstream: 'static {
+    /// What is sent.
+    type Payload: 'static;
+    /// What a served request is answered with.
+    type Reply: 'static;
+    /// One backend and the connections to it.
+    type Endpoint: 'static;
+
+    /// A backend at `address`; nothing is opened yet.
+    fn endpoint(&self, address: SocketAddr) -> Self::Endpoint;
+
+    /// The backend listens at `address` now. Where that is another one, nothing new goes out on
+    /// connections to the old one.
+    fn moved(&self, endpoint: &Self::Endpoint, address: SocketAddr);
+
+    /// Closes the idle connections, and those in use once they become idle.
+    fn release(&self, endpoint: &Self::Endpoint);
+
+    /// Closes connections that are no longer to be used. Called about once a second.
+    fn sweep(&self, endpoint: &Self::Endpoint);
+
+    /// No further connection can be opened unless one is closed.
+    fn full(&self) -> bool;
+
+    /// Since when its longest idle connection has been idle.
+    fn idle_since(&self, endpoint: &Self::Endpoint) -> Option<Instant>;
+
+    /// Closes that connection.
+    fn evict(&self, endpoint: &Self::Endpoint);
+
+    /// Makes one attempt, and says exactly how it ended; what is not known to have been kept from
+    /// the backend may have run. Dropping the future gives the attempt up: its connection must
+    /// not be used again.
+    fn attempt(
+        &self,
+        endpoint: Rc<Self::Endpoint>,
+        payload: Rc<Self::Payload>,
+        attempt: Attempt,
+    ) -> impl Future<Output = Done<Self::Reply>> + 'static;
+
+    /// Sees whether a backend answers, within a time limit of its own.
+    fn probe(
+        &self,
+        endpoint: Rc<Self::Endpoint>,
+        attempt: Attempt,
+    ) -> impl Future<Output = Done<()>> + 'static;
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,6 +6,7 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+pub mod engine;
 mod interface;
 mod logic;
 pub mod proxy;
--- a/src/main.rs
+++ b/src/main.rs
@@ -2,10 +2,11 @@
 
 #![forbid(unsafe_code)]
 
+use gannetproxy::engine::Engine;
+use gannetproxy::proxy::backend::Http;
 use gannetproxy::proxy::config::{Config, ConfigError, Wins};
 use gannetproxy::proxy::discovery::Discovery;
-use gannetproxy::proxy::engine::Engine;
-use gannetproxy::proxy::limits::Caps;
+use gannetproxy::proxy::limits::{Budget, Caps};
 use gannetproxy::proxy::server::{self, Server};
 use std::process::ExitCode;
 use thiserror::Error;
@@ -29,7 +30,13 @@
     let address = listener.local_addr()?;
     eprintln!("dewpier: listening on {address}");
     let caps = Caps::new(config.sockets, config.memory);
-    let engine = Engine::start(config.settings.clone(), &config.wire, config.seed, caps.backends);
+    let upstream = Http {
+        connections: Budget::new(caps.backends),
+        connect_timeout: config.wire.connect_timeout,
+        idle_close: config.wire.idle_close,
+        probe_path: if config.settings.probe_for_reports { "/-/load" } else { "/-/healthy" },
+    };
+    let engine = Engine::start(config.settings.clone(), config.wire.bounds(), config.seed, upstream);
     let discovery =
         Discovery::start(config.discovery, config.known, &config.wire, &config.settings, engine.clone());
     let reloading = async move {
--- a/src/proxy/config.rs
+++ b/src/proxy/config.rs
@@ -1,6 +1,7 @@
 //! What a proxy is told at its start: environment and JSON, turned into the module's settings.
 
-use super::discovery::{self, RawList};
+use super::listing::{self, RawList};
+use crate::engine::Bounds;
 use crate::{Class, Effect, Group, Settings, Time};
 use serde::Deserialize;
 use std::net::SocketAddr;
@@ -81,6 +82,13 @@
     pub max_open: usize,
 }
 
+impl WireSettings {
+    /// What bounds the engine.
+    pub fn bounds(&self) -> Bounds {
+        Bounds { drain_grace: self.drain_grace, max_open: self.max_open }
+    }
+}
+
 #[derive(Deserialize)]
 struct File {
     listen: Option<String>,
@@ -262,7 +270,7 @@
         let seed = u64::from_str_radix(&file.seed, 16).map_err(|_| bad("seed", "hex digits", &file.seed))?;
         let raw = file.settings;
         let mut zones = raw.zones;
-        let zone = discovery::zone_index(&mut zones, &raw.zone);
+        let zone = listing::zone_index(&mut zones, &raw.zone);
         let wire = WireSettings {
             classes: raw.classes.iter().map(|c| c.name.clone()).collect(),
             tenants: raw.projects.iter().map(|p| p.name.clone()).collect(),
--- a/src/proxy/discovery.rs
+++ b/src/proxy/discovery.rs
@@ -1,15 +1,15 @@
-//! Discovery: the watch and fetch calls, and lists in the module's terms.
+//! Discovery: the watch and fetch calls.
 
-use super::backend::{self, Peer};
+use super::backend::Http;
 use super::config::WireSettings;
-use super::engine::{Clock, Engine};
-use crate::{BackendId, Entry, Settings, Status};
+use super::listing::{Names, RawList};
+use super::peer::{self, Peer};
+use crate::Settings;
+use crate::engine::{Ask, Engine, News};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::Request;
-use serde::Deserialize;
 use std::cell::{Cell, RefCell};
-use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -25,59 +25,6 @@
 /// Largest list taken in.
 const MOST_BYTES: usize = 4 << 20;
 
-/// A list as discovery writes it.
-#[derive(Debug, Default, Deserialize)]
-pub struct RawList {
-    generation: u64,
-    reset: bool,
-    instances: Vec<RawEntry>,
-}
-
-#[derive(Debug, Deserialize)]
-#[serde(rename_all = "camelCase")]
-struct RawEntry {
-    instance_id: String,
-    host_port: SocketAddr,
-    #[serde(default)]
-    zone: String,
-    #[serde(default)]
-    cell: u32,
-    lifecycle: Lifecycle,
-    weight: Option<f64>,
-    #[serde(default)]
-    started_at_ms: f64,
-}
-
-#[derive(Clone, Copy, Debug, Deserialize)]
-#[serde(rename_all = "UPPERCASE")]
-enum Lifecycle {
-    Serving,
-    Draining,
-    Deleted,
-}
-
-/// News of the list, as the engine hands it to the module.
-#[derive(Debug)]
-pub enum News {
-    /// Entries that changed.
-    Changes(Vec<Listed>),
-    /// All entries.
-    Full(Vec<Listed>),
-    /// All entries, as last had before the start.
-    Remembered(Vec<Listed>),
-    /// A call failed.
-    Refused,
-}
-
-/// A backend of a list, and where it listens.
-#[derive(Debug)]
-pub struct Listed {
-    /// The module's part.
-    pub entry: Entry,
-    /// Its address.
-    pub address: SocketAddr,
-}
-
 #[derive(Debug, Error)]
 enum CallError {
     #[error("no answer in time")]
@@ -96,71 +43,11 @@
     Json(#[from] serde_json::Error),
 }
 
-/// The number of a zone, added if it is new.
-pub fn zone_index(zones: &mut Vec<String>, name: &str) -> u32 {
-    let known = zones.iter().position(|z| z == name);
-    known.unwrap_or_else(|| {
-        zones.push(name.to_string());
-        zones.len() - 1
-    }) as u32
-}
-
-/// Names of discovery in the module's terms.
-#[derive(Debug)]
-struct Translation {
-    zones: Vec<String>,
-    ids: HashMap<String, BackendId>,
-    taken: HashSet<BackendId>,
-}
-
-impl Translation {
-    /// A number for a backend's name, the same at every proxy: they share out the backends by it.
-    fn id(&mut self, name: &str) -> BackendId {
-        if let Some(&id) = self.ids.get(name) {
-            return id;
-        }
-        let hash = name.bytes().fold(0x811c_9dc5_u32, |h, b| (h ^ u32::from(b)).wrapping_mul(0x0100_0193));
-        let mut id = BackendId(hash);
-        while self.taken.contains(&id) {
-            id = BackendId(id.0.wrapping_add(1));
-        }
-        self.taken.insert(id);
-        self.ids.insert(name.to_string(), id);
-        id
-    }
-
-    /// Forgets the names of backends that are not known any more; one that comes back gets the
-    /// number that it had, by its name.
-    fn forget(&mut self, known: impl Fn(BackendId) -> bool) {
-        self.ids.retain(|_, id| known(*id));
-        self.taken.retain(|id| known(*id));
-    }
-
-    fn list(&mut self, raw: Vec<RawEntry>, clock: &Clock) -> Vec<Listed> {
-        let listed = |raw: RawEntry| Listed {
-            entry: Entry {
-                id: self.id(&raw.instance_id),
-                cell: raw.cell,
-                zone: zone_index(&mut self.zones, &raw.zone),
-                weight: raw.weight.filter(|w| w.is_finite() && *w >= 0.0).unwrap_or(1.0),
-                status: match raw.lifecycle {
-                    Lifecycle::Serving => Status::InService,
-                    Lifecycle::Draining => Status::Draining,
-                    Lifecycle::Deleted => Status::Gone,
-                },
-                started: (raw.started_at_ms > 0.0).then(|| clock.of_unix(raw.started_at_ms / 1000.0)),
-            },
-            address: raw.host_port,
-        };
-        raw.into_iter().map(listed).collect()
-    }
-}
-
 /// Keeps the engine's list fresh.
 pub struct Discovery {
     address: Cell<SocketAddr>,
-    engine: Rc<Engine>,
-    names: RefCell<Translation>,
+    engine: Rc<Engine<Http>>,
+    names: RefCell<Names>,
     /// The version of the list that was last had from this address, if any was.
     generation: Cell<Option<u64>>,
     watch: RefCell<Option<AbortHandle>>,
@@ -179,13 +66,11 @@
         known: RawList,
         wire: &WireSettings,
         settings: &Settings,
-        engine: Rc<Engine>,
+        engine: Rc<Engine<Http>>,
     ) -> Rc<Self> {
-        let zones = wire.zones.clone();
-        let names = Translation { zones, ids: HashMap::new(), taken: HashSet::new() };
         let discovery = Rc::new(Self {
             address: Cell::new(address),
-            names: RefCell::new(names),
+            names: RefCell::new(Names::new(wire.zones.clone())),
             generation: Cell::new(Some(known.generation)),
             watch: RefCell::default(),
             era: Cell::new(0),
@@ -193,7 +78,16 @@
             asked: settings.must_watch,
             engine,
         });
-        discovery.engine.set_discovery(&discovery);
+        let asked = Rc::downgrade(&discovery);
+        discovery.engine.asks(move |ask| {
+            let Some(discovery) = asked.upgrade() else {
+                return;
+            };
+            match ask {
+                Ask::Watch(on) => discovery.watch(on),
+                Ask::Fetch => discovery.fetch(),
+            }
+        });
         let listed = discovery.names.borrow_mut().list(known.instances, discovery.engine.clock());
         discovery.engine.news(News::Remembered(listed));
         if !settings.must_watch {
@@ -290,7 +184,7 @@
         let called = tokio::time::timeout(wait, async {
             let mut peer = match kept.take().and_then(Peer::checked) {
                 Some(peer) => peer,
-                None => backend::connect(self.address.get(), PATIENCE).await.map_err(CallError::Connect)?,
+                None => peer::connect(self.address.get(), PATIENCE).await.map_err(CallError::Connect)?,
             };
             let request = Request::get(path).header("host", self.address.get().to_string());
             let Ok(request) = request.body(Full::new(Bytes::new())) else {
--- /dev/null
+++ b/src/proxy/peer.rs
@@ -0,0 +1,234 @@
+//! One connection to a backend or to discovery, and one exchange on it.
+
+use super::limits::{MOST_BODY, MOST_HEAD};
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::{Body, Incoming};
+use hyper::client::conn::http1;
+use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
+use hyper::http::response::Parts;
+use hyper::{Request, Response};
+use hyper_util::rt::TokioIo;
+use std::future::Future;
+use std::io;
+use std::net::SocketAddr;
+use std::pin::{Pin, pin};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+use std::task::{Context, Poll, Waker, ready};
+use std::time::Duration;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+use tokio::time::{Instant, Sleep};
+
+/// An answer that has begun and then stands still for so long is given up as spoilt.
+const STALLED: Duration = Duration::from_millis(500);
+/// How often that is looked at.
+const LOOK: Duration = Duration::from_millis(100);
+
+/// When something was last heard of an answer that has begun.
+#[derive(Clone, Default)]
+struct Heard(Arc<Mutex<Option<Instant>>>);
+
+impl Heard {
+    fn set(&self, at: Option<Instant>) {
+        if let Ok(mut heard) = self.0.lock() {
+            *heard = at;
+        }
+    }
+
+    /// Returns once an answer stands still.
+    async fn stalled(&self) {
+        let stands = || self.0.lock().is_ok_and(|h| h.is_some_and(|at| at.elapsed() >= STALLED));
+        while !stands() {
+            tokio::time::sleep(LOOK).await;
+        }
+    }
+}
+
+/// The last byte of a request is held back for so long. A backend begins a request when its last
+/// byte has come, so what breaks before that has never run and may go elsewhere: guards against
+/// connections that the other side has given up without a word, or resets as it accepts them.
+const HELD: Duration = Duration::from_millis(1);
+
+/// A socket that notes when something came, and holds the last byte back.
+struct Line {
+    stream: TcpStream,
+    heard: Heard,
+    /// All that was to be written has gone out.
+    whole: Arc<AtomicBool>,
+    held: Option<u8>,
+    /// Until when it is held.
+    wait: Pin<Box<Sleep>>,
+}
+
+impl Line {
+    /// Writes the byte that is held, if one is.
+    fn poll_held(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        if let Some(byte) = self.held {
+            ready!(Pin::new(&mut self.stream).poll_write(cx, &[byte]))?;
+            self.held = None;
+        }
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl AsyncRead for Line {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buffer.filled().len();
+        let read = Pin::new(&mut self.stream).poll_read(cx, buffer);
+        if buffer.filled().len() > before {
+            self.heard.set(Some(Instant::now()));
+        }
+        read
+    }
+}
+
+impl AsyncWrite for Line {
+    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, data: &[u8]) -> Poll<io::Result<usize>> {
+        // What is held is not the last byte after all.
+        ready!(self.poll_held(cx))?;
+        let Some((last, rest)) = data.split_last() else {
+            return Poll::Ready(Ok(0));
+        };
+        if !rest.is_empty() {
+            let written = ready!(Pin::new(&mut self.stream).poll_write(cx, rest))?;
+            if written < rest.len() {
+                return Poll::Ready(Ok(written));
+            }
+        }
+        self.held = Some(*last);
+        self.wait.as_mut().reset(Instant::now() + HELD);
+        Poll::Ready(Ok(data.len()))
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        if self.held.is_some() {
+            ready!(self.wait.as_mut().poll(cx));
+            ready!(self.poll_held(cx))?;
+            self.whole.store(true, Ordering::Relaxed);
+        }
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
+
+/// A connection and what drives it. Nothing is read or written but while its owner waits on it,
+/// so that dropping it ends both at once.
+pub struct Peer {
+    sender: http1::SendRequest<Full<Bytes>>,
+    io: Io,
+    heard: Heard,
+    whole: Arc<AtomicBool>,
+}
+
+struct Io {
+    connection: Pin<Box<http1::Connection<TokioIo<Line>, Full<Bytes>>>>,
+    ended: bool,
+}
+
+/// What hyper says of a request that got no answer.
+pub type Sent = hyper::client::conn::TrySendError<Request<Full<Bytes>>>;
+
+/// Why there is no answer.
+pub enum Spoilt {
+    /// Its last byte has not gone out: it never ran.
+    Unsent,
+    /// It may have run.
+    Sent,
+}
+
+/// Connects.
+pub async fn connect(address: SocketAddr, within: Duration) -> io::Result<Peer> {
+    let stream = tokio::time::timeout(within, TcpStream::connect(address)).await??;
+    stream.set_nodelay(true)?;
+    let heard = Heard::default();
+    let whole = Arc::new(AtomicBool::new(false));
+    let wait = Box::pin(tokio::time::sleep(Duration::ZERO));
+    let line = Line { stream, heard: heard.clone(), whole: whole.clone(), held: None, wait };
+    // A head without end must not grow without bound.
+    let builder = http1::Builder::new().max_buf_size(MOST_HEAD).handshake(TokioIo::new(line));
+    let (sender, io) = builder.await.map_err(io::Error::other)?;
+    Ok(Peer { sender, io: Io { connection: Box::pin(io), ended: false }, heard, whole })
+}
+
+impl Peer {
+    /// Waits for `wanted` while the connection works. None if it ends without it.
+    pub async fn drive<F: Future>(&mut self, wanted: F) -> Option<F::Output> {
+        self.io.drive(wanted).await
+    }
+
+    /// Sends a request and waits for the head of the answer.
+    pub async fn send(&mut self, request: Request<Full<Bytes>>) -> Option<Result<Response<Incoming>, Sent>> {
+        self.io.drive(self.sender.try_send_request(request)).await
+    }
+
+    /// Sends a request and waits for the answer, which must come whole and be nothing but that:
+    /// one that stands still half way, or is too long, or might be read in two ways, is none.
+    pub async fn exchange(&mut self, mut request: Request<Full<Bytes>>) -> Result<(Parts, Bytes), Spoilt> {
+        let heard = self.heard.clone();
+        heard.set(None);
+        let whole = self.whole.clone();
+        whole.store(false, Ordering::Relaxed);
+        let begun_anew = heard.clone();
+        // 1xx answers come ahead of the one that counts, perhaps long ahead.
+        hyper::ext::on_informational(&mut request, move |_| begun_anew.set(None));
+        let answered = async {
+            let answer = match self.send(request).await {
+                Some(Ok(answer)) => answer,
+                // The connection had ended before all of it was written.
+                _ if !whole.load(Ordering::Relaxed) => return Err(Spoilt::Unsent),
+                _ => return Err(Spoilt::Sent),
+            };
+            let (head, body) = answer.into_parts();
+            let double = [TRANSFER_ENCODING, CONTENT_LENGTH].iter().all(|n| head.headers.contains_key(n));
+            let long = body.size_hint().lower() > MOST_BODY as u64;
+            if double || long || head.status.is_informational() {
+                return Err(Spoilt::Sent);
+            }
+            match self.drive(Limited::new(body, MOST_BODY).collect()).await {
+                Some(Ok(body)) => Ok((head, body.to_bytes())),
+                _ => Err(Spoilt::Sent),
+            }
+        };
+        tokio::select! {
+            answered = answered => answered,
+            () = heard.stalled() => Err(Spoilt::Sent),
+        }
+    }
+
+    /// It, if it can carry another request and the other side has not closed it meanwhile. Waits
+    /// for nothing: an answer that has come must not be held up by its connection.
+    pub fn checked(mut self) -> Option<Self> {
+        self.io.poll(&mut Context::from_waker(Waker::noop()));
+        (!self.io.ended && self.sender.is_ready()).then_some(self)
+    }
+}
+
+impl Io {
+    fn poll(&mut self, cx: &mut Context<'_>) {
+        // Remembered, as the sender goes on saying that it is ready after the end: a connection
+        // that the backend closed right behind its answer would be kept and used again.
+        self.ended = self.ended || self.connection.as_mut().poll(cx).is_ready();
+    }
+
+    async fn drive<F: Future>(&mut self, wanted: F) -> Option<F::Output> {
+        let mut wanted = pin!(wanted);
+        std::future::poll_fn(|cx| {
+            self.poll(cx);
+            match wanted.as_mut().poll(cx) {
+                Poll::Ready(output) => Poll::Ready(Some(output)),
+                Poll::Pending if self.ended => Poll::Ready(None),
+                Poll::Pending => Poll::Pending,
+            }
+        })
+        .await
+    }
+}
--- a/src/proxy/request.rs
+++ b/src/proxy/request.rs
@@ -1,8 +1,8 @@
 //! Reading a client's request and checking it, all that is wrong with it among the errors.
 
 use super::config::WireSettings;
-use super::engine::Payload;
 use super::limits::{Budget, MOST_BODY, Permit};
+use super::payload::Payload;
 use crate::{Effect, Request, RequestId, Settings, Time};
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
--- a/src/proxy/server.rs
+++ b/src/proxy/server.rs
@@ -1,10 +1,11 @@
 //! The clients' side: the listener, requests and their answers, readiness and the graceful stop.
 
+use super::backend::Http;
 use super::clients::{self, Client, Clients, Place, Socket};
 use super::config::WireSettings;
-use super::engine::{Answer, Engine};
 use super::limits::{Budget, Caps, MOST_HEAD};
 use super::request::{self, Unfit};
+use crate::engine::{Answer, Engine};
 use crate::{RequestId, Settings, Time};
 use bytes::Bytes;
 use http_body_util::Full;
@@ -44,7 +45,7 @@
 
 /// Answers clients.
 pub struct Server {
-    engine: Rc<Engine>,
+    engine: Rc<Engine<Http>>,
     settings: Settings,
     wire: WireSettings,
     /// When SIGTERM came, if it has.
@@ -59,7 +60,7 @@
 }
 
 /// Tells the engine that the client has left, if it is dropped before the answer.
-struct Leaving<'a>(&'a Engine, RequestId);
+struct Leaving<'a>(&'a Engine<Http>, RequestId);
 
 impl Drop for Leaving<'_> {
     fn drop(&mut self) {
@@ -79,7 +80,7 @@
 
 impl Server {
     /// A server that keeps to these caps.
-    pub fn new(engine: Rc<Engine>, settings: Settings, wire: WireSettings, caps: Caps) -> Rc<Self> {
+    pub fn new(engine: Rc<Engine<Http>>, settings: Settings, wire: WireSettings, caps: Caps) -> Rc<Self> {
         Rc::new(Self {
             engine,
             settings,
--- a/tests/growth.rs
+++ b/tests/growth.rs
@@ -5,9 +5,10 @@
 
 use common::sockets::{LONG, NEXT, Play, Played, heard};
 use common::{Bench, entry, refused, safe, sends};
-use gannetproxy::proxy::config::WireSettings;
-use gannetproxy::proxy::discovery::{Listed, News};
-use gannetproxy::proxy::engine::{Engine, Payload};
+use gannetproxy::engine::{Bounds, Engine, Listed, News};
+use gannetproxy::proxy::backend::Http;
+use gannetproxy::proxy::limits::Budget;
+use gannetproxy::proxy::payload::Payload;
 use gannetproxy::*;
 use std::net::SocketAddr;
 use std::sync::atomic::Ordering;
@@ -24,14 +25,14 @@
     let silent = Played::new(move |_, _| Play::Silence(ended.clone()));
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
     tokio::task::LocalSet::new().block_on(&runtime, async {
-        let wire = WireSettings {
+        let upstream = Http {
+            connections: Budget::new(10),
             connect_timeout: LONG,
             idle_close: LONG,
-            drain_grace: Duration::from_millis(100),
-            max_open: 10,
-            ..WireSettings::default()
+            probe_path: "/-/healthy",
         };
-        let engine = Engine::start(safe(), &wire, 1, 10);
+        let bounds = Bounds { drain_grace: Duration::from_millis(100), max_open: 10 };
+        let engine = Engine::start(safe(), bounds, 1, upstream);
         engine.news(News::Full(vec![listed(1, silent.address)]));
         let payload = Payload {
             method: hyper::Method::GET,
--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -5,9 +5,10 @@
 
 use common::sockets::*;
 use gannetproxy::Outcome;
-use gannetproxy::proxy::backend::{Endpoint, attempt};
-use gannetproxy::proxy::engine::{Clock, Payload};
+use gannetproxy::engine::{Attempt, Clock, Gate, Upstream};
+use gannetproxy::proxy::backend::Http;
 use gannetproxy::proxy::limits::Budget;
+use gannetproxy::proxy::payload::Payload;
 use serde_json::json;
 use std::io::Write;
 use std::net::TcpListener;
@@ -192,15 +193,18 @@
     let backend = Played::good("hello");
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
     let attempt = |last_send: Option<f64>| {
-        let endpoint = Endpoint::new(backend.address, Budget::new(4), LONG, LONG);
-        endpoint.update(backend.address, last_send);
+        let connections = Budget::new(4);
+        let http = Http { connections, connect_timeout: LONG, idle_close: LONG, probe_path: "/" };
+        let gate = std::rc::Rc::new(Gate::default());
+        gate.update(last_send);
+        let made = Attempt { gate, clock: Clock::start(), until: 20.0, written: Default::default() };
         let payload = Payload {
             method: "POST".parse().unwrap(),
             uri: "/api".parse().unwrap(),
             headers: [("host".parse().unwrap(), "app.svc".parse().unwrap())].into_iter().collect(),
             body: "body".into(),
         };
-        let attempted = attempt(endpoint.into(), payload.into(), Clock::start(), 20.0, Default::default());
+        let attempted = http.attempt(http.endpoint(backend.address).into(), payload.into(), made);
         runtime.block_on(attempted).outcome
     };
     assert_eq!(attempt(Some(0.0)), Outcome::NoConnection);
