Read inventories: CSV, Ansible, file_sd and plain lists, checked whole or refused with the place

Need: other installations keep node lists in spreadsheets and in YAML of configuration tools.

Change: crates/inventory, a core with no I/O: bytes in, a checked list or one refusal out, with line and column (both where two clash), what was expected and what was found. Encodings by byte order mark or by name, never guessed. YAML by saphyr-parser's events, so that duplicate keys, aliases and words that two readers read differently are seen.

--- /dev/null
+++ b/crates/inventory/src/formats/file_sd.rs
@@ -0,0 +1,62 @@
+//! Prometheus target groups: `targets`, each a host and a port, and `labels` that hold for all of
+//! a group. The id of a node is its target, or the label `id` of a group with one target.
+
+use super::{Aside, set, value};
+use crate::collect::Collector;
+use crate::fields::Fields;
+use crate::refusal::{Fault, Spot};
+use crate::yaml::{Kind, Node};
+use crate::{Backend, Options, Place};
+
+pub(super) fn read(root: &Node, options: &Options) -> Result<(Vec<Backend>, Vec<String>), Fault> {
+    let Kind::List(groups) = &root.kind else {
+        return Err(Fault::value(root.at, "inventory", "a list of target groups", root.described()));
+    };
+    let mut aside = Aside::default();
+    let mut collector = Collector::new(options);
+    for group in groups {
+        let mut shared = Fields::default();
+        let mut targets = None;
+        for (key, node) in group.map("target group")? {
+            match key.scalar.text.as_str() {
+                "targets" => targets = Some(node),
+                "labels" => {
+                    for (label, node) in node.map("labels")? {
+                        let name = label.scalar.text.as_str();
+                        // Where a node listens is said by its target alone.
+                        let known =
+                            !matches!(name, "address" | "host" | "port") && set(&mut shared, name, node)?;
+                        if !known {
+                            aside.add(name);
+                        }
+                    }
+                }
+                name => {
+                    return Err(Fault::value(
+                        key.at,
+                        "target group",
+                        "targets and labels",
+                        crate::refusal::shown(name),
+                    ));
+                }
+            }
+        }
+        let Some(Kind::List(targets)) = targets.map(|node| &node.kind) else {
+            let found = targets.map_or("none".into(), |node| node.described());
+            return Err(Fault::value(group.at, "targets", "a list of host:port", found));
+        };
+        if let Some(id) = shared.id.filter(|_| targets.len() > 1) {
+            let found = format!("one for {} targets", targets.len());
+            return Err(Fault::value(id.at, "label id", "one target in its group", found));
+        }
+        for target in targets {
+            let address = value(target, "target")?;
+            if address.is_none() {
+                return Err(Fault::value(target.at, "target", "host:port", "nothing"));
+            }
+            collector.add(&Fields { at: target.at, address, ..shared })?;
+        }
+    }
+    let place = |spot: Spot| Place { line: spot.0, column: spot.1 };
+    Ok((collector.finish(place, (root.at, "no target"))?, aside.0))
+}
