--- a/crates/inventory/src/encoding.rs
+++ b/crates/inventory/src/encoding.rs
@@ -148,7 +148,7 @@
                     }
                 }
             }
-            if rest.len() % 2 != 0 {
+            if !rest.len().is_multiple_of(2) {
                 return Err(refuse(&text, bytes.len() - 1, "UTF-16", "half a character".into(), ""));
             }
             Cow::Owned(text)
--- a/crates/inventory/src/formats/csv.rs
+++ b/crates/inventory/src/formats/csv.rs
@@ -274,7 +274,8 @@
         })?;
     }
     let mut lines = Lines { table, line: 1, at: 0 };
-    let mut places = collector.finish(|spot| Place { line: spot.0, column: 1 }, (Spot(header, 0), "a header alone"))?;
+    let mut places =
+        collector.finish(|spot| Place { line: spot.0, column: 1 }, (Spot(header, 0), "a header alone"))?;
     // Rows are by id now; their lines are counted in one walk, in the order of the file.
     let mut order: Vec<usize> = (0..places.len()).collect();
     order.sort_unstable_by_key(|&i| places[i].at.line);
--- a/crates/inventory/src/formats/mod.rs
+++ b/crates/inventory/src/formats/mod.rs
@@ -66,13 +66,14 @@
     }
     let (text, encoding) = encoding::decode(bytes, options.encoding)?;
     let ended = text.is_empty() || text.ends_with('\n');
+    let end = Place::of(&text, text.len());
     let tabular = match options.format {
         Some(format) => format == Format::Csv,
         None => looks_tabular(name, &text),
     };
     if tabular {
         let (backends, aside) = csv::read(&text, options)?;
-        return Ok(Inventory { format: Format::Csv, encoding, backends, ended, aside });
+        return Ok(Inventory { format: Format::Csv, encoding, backends, ended, end, aside });
     }
     let most = options.max_rows.saturating_mul(VALUES_PER_ROW);
     let place = |spot: Spot| Place { line: spot.0, column: spot.1 };
@@ -91,7 +92,7 @@
     let (format, backends, aside) = parsed.map_err(|fault| fault.placed(place))?;
     // A closed bracket around all of it shows the end as well as the end of a line does.
     let ended = ended || text.starts_with(['[', '{']) && text.ends_with([']', '}']);
-    Ok(Inventory { format, encoding, backends, ended, aside })
+    Ok(Inventory { format, encoding, backends, ended, end, aside })
 }
 
 const START: Place = Place { line: 1, column: 1 };
--- /dev/null
+++ b/crates/inventory/src/io/mod.rs
@@ -0,0 +1,7 @@
+//! The files themselves: reading one at once, and watching one from a thread of its own.
+
+mod file;
+mod watch;
+
+pub use file::{CONFIRMATION, ReadError, read_file};
+pub use watch::{Source, Update, confirm};
--- a/crates/inventory/src/lib.rs
+++ b/crates/inventory/src/lib.rs
@@ -3,6 +3,8 @@
 //! [`read`] turns the bytes of a file into a checked [`Inventory`], or into one [`Refusal`] that
 //! says where, what was expected and what was found. It does no I/O and keeps nothing between
 //! calls: the same bytes and [`Options`] give the same result. A file is taken whole or not at all.
+//! [`reload`] decides when a file that changes is read and what of it is taken, without I/O too;
+//! [`io`] is the thin part that touches files.
 //!
 //! Four forms are read: CSV (RFC 4180), Ansible's YAML inventories, Prometheus' `file_sd` target
 //! groups, and a plain YAML list of nodes. JSON is read as the YAML that it is.
@@ -18,7 +20,9 @@
 mod encoding;
 mod fields;
 mod formats;
+pub mod io;
 mod refusal;
+pub mod reload;
 mod yaml;
 
 pub use address::{Address, Host};
@@ -71,6 +75,8 @@
     /// The text shows its own end: its last line is complete, or it is one closed bracket. A file
     /// cut off in the middle of its last line has no such end.
     pub ended: bool,
+    /// Where it ends.
+    pub end: Place,
     /// Columns or keys that mean nothing here and were passed over.
     pub aside: Vec<String>,
 }
