Start a proxy from a configuration of our own: serve, check, inventory check and confirm

Need: dewpier started only where the platform hands it everything.

Change: src/serve reads a TOML configuration, checked whole with places, and feeds the engine the lists of an inventory that is watched; plain HTTP clients get their class by method and path, and all but server errors of backends. Without arguments the program is what it was. Host names are looked up only where the configuration asks.

--- a/crates/inventory/src/io/watch.rs
+++ b/crates/inventory/src/io/watch.rs
@@ -43,13 +43,14 @@
 impl Source {
     /// Watches `path`. It is looked at whenever the system tells of a change, and every `poll` in
     /// any case, as some file systems never tell. `update` is called from the thread, first with
-    /// the list or the reason why there is none.
+    /// the list or the reason why there is none. Where it says that a list can't be used, the one
+    /// before goes on holding.
     pub fn start(
         path: &Path,
         options: Options,
         rules: Rules,
         poll: Duration,
-        mut update: impl FnMut(Update) + Send + 'static,
+        mut update: impl FnMut(Update) -> Result<(), String> + Send + 'static,
     ) -> std::io::Result<Self> {
         let (words, heard) = sync_channel(MOST_WORDS);
         let stopped = Arc::new(AtomicBool::new(false));
@@ -100,12 +101,17 @@
     }
 }
 
+/// Tells of something that has no answer.
+fn tell(update: &mut impl FnMut(Update) -> Result<(), String>, what: Update) {
+    let _ = update(what);
+}
+
 /// Has the system tell of changes. Its folder is watched too: a file that is replaced by rename is
 /// another one, and a watch on the old one would stay silent.
 fn watch(
     path: &Path,
     touched: impl Fn() + Send + 'static,
-    update: &mut impl FnMut(Update),
+    update: &mut impl FnMut(Update) -> Result<(), String>,
 ) -> Option<notify::RecommendedWatcher> {
     let folder = match path.parent() {
         Some(folder) if !folder.as_os_str().is_empty() => folder.to_path_buf(),
@@ -134,7 +140,7 @@
     watched
         .inspect_err(|error| {
             let text = format!("{}: the system tells of no changes ({error}): it is polled", path.display());
-            update(Update::Notice(text));
+            tell(update, Update::Notice(text));
         })
         .ok()
 }
@@ -149,7 +155,11 @@
 impl Shell {
     /// Hands an input to the core and does what it says, until there is nothing left to do.
     /// Returns when to look again.
-    fn run(&mut self, input: Input<'_>, update: &mut impl FnMut(Update)) -> Option<Duration> {
+    fn run(
+        &mut self,
+        input: Input<'_>,
+        update: &mut impl FnMut(Update) -> Result<(), String>,
+    ) -> Option<Duration> {
         let mut outputs = Vec::new();
         let mut next = None;
         self.reload.handle(self.start.elapsed(), input, &mut outputs);
@@ -172,12 +182,17 @@
                     let input = Input::Read { before, after, bytes, confirmed: said.as_deref() };
                     self.reload.handle(self.start.elapsed(), input, &mut outputs);
                 }
-                Output::Accepted(list) => update(Update::Accepted(list)),
-                Output::Rejected(rejection) => update(Update::Rejected(self.told(&rejection))),
+                Output::Accepted(list) => {
+                    if let Err(why) = update(Update::Accepted(list)) {
+                        self.reload.handle(self.start.elapsed(), Input::Unusable, &mut outputs);
+                        tell(update, Update::Rejected(format!("{}:{why}", self.name)));
+                    }
+                }
+                Output::Rejected(rejection) => tell(update, Update::Rejected(self.told(&rejection))),
                 Output::Restless => {
                     let text =
                         format!("{}: it changes all the time, and is read once it stands still", self.name);
-                    update(Update::Notice(text));
+                    tell(update, Update::Notice(text));
                 }
             }
         }
--- a/crates/inventory/src/reload.rs
+++ b/crates/inventory/src/reload.rs
@@ -114,6 +114,8 @@
         /// What the operator's confirmation says.
         confirmed: Option<&'a str>,
     },
+    /// The list that was accepted last can't be used after all: the one before it holds.
+    Unusable,
 }
 
 /// What is to be done.
@@ -131,13 +133,18 @@
     Restless,
 }
 
+/// A list, and the hash of the text that it was read from.
+type Good = (Arc<Inventory>, [u8; 32]);
+
 /// Decides what of a file is taken.
 #[derive(Debug)]
 pub struct Reload {
     name: String,
     options: Options,
     rules: Rules,
-    good: Option<(Arc<Inventory>, [u8; 32])>,
+    good: Option<Good>,
+    /// The list that held before it.
+    former: Option<Good>,
     /// The state of the file that was judged last.
     judged: Option<Option<Stamp>>,
     /// A newer one, and since when it stands.
@@ -157,6 +164,7 @@
             options,
             rules,
             good: None,
+            former: None,
             judged: None,
             pending: None,
             restless: None,
@@ -189,6 +197,7 @@
                 self.at_once = true;
                 self.read(outputs);
             }
+            Input::Unusable => self.good = self.former.take(),
             Input::Looked(stamp) => self.looked(now, stamp, outputs),
             Input::Read { before, after, bytes, confirmed } => {
                 self.reading = false;
@@ -264,7 +273,7 @@
             }
         }
         let list = Arc::new(list);
-        self.good = Some((list.clone(), hash));
+        self.former = self.good.replace((list.clone(), hash));
         Ok(Some(list))
     }
 }
--- /dev/null
+++ b/src/command.rs
@@ -0,0 +1,216 @@
+//! The command line. Without arguments the program is the platform's proxy, as ever.
+
+use clap::{Args, Parser, Subcommand};
+use dewpier_inventory::io::{confirm, read_file};
+use dewpier_inventory::{Encoding, Format, Inventory, Options};
+use gannetproxy::serve::config::Config;
+use gannetproxy::serve::run;
+use serde::Serialize;
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+
+/// A file that can't be used.
+const BAD_INPUT: u8 = 2;
+
+/// A balancer for services that call services.
+///
+/// Without a command it is told everything by the platform, through RELAY_CONFIG, RELAY_LISTEN and
+/// RELAY_DISCOVERY.
+#[derive(Parser)]
+#[command(name = "dewpier", version)]
+struct Arguments {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Serve plain HTTP clients, with the backends of an inventory
+    Serve(WithConfig),
+    /// Check a configuration and the inventory that it names
+    Check(WithConfig),
+    /// Look at inventories
+    #[command(subcommand)]
+    Inventory(OfInventory),
+}
+
+#[derive(Args)]
+struct WithConfig {
+    /// The configuration, in TOML
+    #[arg(long, value_name = "FILE")]
+    config: PathBuf,
+}
+
+#[derive(Subcommand)]
+enum OfInventory {
+    /// Check an inventory: exit 0 where it is good, 2 with FILE:LINE:COLUMN and the reason where not
+    Check {
+        /// The inventory
+        file: PathBuf,
+        /// csv, ansible, file_sd or list; found out if not said
+        #[arg(long)]
+        format: Option<Format>,
+        /// utf-8, utf-16le, utf-16be, windows-1251 or kz-1048; by byte order mark, or else UTF-8, if
+        /// not said
+        #[arg(long)]
+        encoding: Option<Encoding>,
+        /// Of an Ansible inventory, the hosts of this group alone
+        #[arg(long)]
+        group: Option<String>,
+        /// The port of nodes that state none
+        #[arg(long, value_parser = clap::value_parser!(u16).range(1..))]
+        default_port: Option<u16>,
+        /// Print the list as JSON
+        #[arg(long)]
+        json: bool,
+    },
+    /// Confirm that the inventory is meant as it is now, though many nodes have left it
+    Confirm {
+        /// The inventory
+        file: PathBuf,
+    },
+}
+
+/// Does what the command line says.
+pub fn run() -> ExitCode {
+    let arguments = match Arguments::try_parse() {
+        Ok(arguments) => arguments,
+        Err(error) => error.exit(),
+    };
+    match arguments.command {
+        Command::Serve(WithConfig { config }) => serve(&config),
+        Command::Check(WithConfig { config }) => check(&config),
+        Command::Inventory(OfInventory::Check { file, format, encoding, group, default_port, json }) => {
+            let options = Options { format, encoding, group, default_port, ..Options::default() };
+            check_inventory(&file, &options, json)
+        }
+        Command::Inventory(OfInventory::Confirm { file }) => {
+            match confirm(&file, Options::default().max_bytes) {
+                Ok(beside) => {
+                    println!("confirmed in {}", beside.display());
+                    ExitCode::SUCCESS
+                }
+                Err(error) => bad(format!("{}: cannot confirm it: {error}", file.display())),
+            }
+        }
+    }
+}
+
+fn bad(message: impl std::fmt::Display) -> ExitCode {
+    eprintln!("{message}");
+    ExitCode::from(BAD_INPUT)
+}
+
+fn serve(path: &Path) -> ExitCode {
+    let config = match Config::read(path) {
+        Ok(config) => config,
+        Err(error) => return bad(error),
+    };
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let ran = runtime.map_err(run::ServeError::from).and_then(|runtime| {
+        let ran = tokio::task::LocalSet::new().block_on(&runtime, run::until_signals(config));
+        // A look-up that the system does not answer must not hold up the exit.
+        runtime.shutdown_background();
+        ran
+    });
+    match ran {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(run::ServeError::Inventory(error)) => bad(error),
+        Err(error) => {
+            eprintln!("dewpier: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn check(path: &Path) -> ExitCode {
+    let config = match Config::read(path) {
+        Ok(config) => config,
+        Err(error) => return bad(error),
+    };
+    let inventory = &config.inventory;
+    match read_file(&inventory.file, &inventory.options) {
+        Ok(list) => {
+            notes(&inventory.file, &list);
+            println!("{}: good", path.display());
+            summary(&inventory.file, &list);
+            ExitCode::SUCCESS
+        }
+        Err(error) => bad(error),
+    }
+}
+
+fn check_inventory(file: &Path, options: &Options, json: bool) -> ExitCode {
+    match read_file(file, options) {
+        Ok(list) => {
+            notes(file, &list);
+            if !json {
+                summary(file, &list);
+                return ExitCode::SUCCESS;
+            }
+            match as_json(&list) {
+                Ok(text) => {
+                    println!("{text}");
+                    ExitCode::SUCCESS
+                }
+                Err(error) => bad(error),
+            }
+        }
+        Err(error) => bad(error),
+    }
+}
+
+fn summary(file: &Path, list: &Inventory) {
+    let (count, format, encoding) = (list.backends.len(), list.format, list.encoding);
+    println!("{}: good: {count} backends ({format}, {encoding})", file.display());
+}
+
+/// What is no fault, but may surprise.
+fn notes(file: &Path, list: &Inventory) {
+    if !list.aside.is_empty() {
+        eprintln!("{}: note: passed over: {}", file.display(), list.aside.join(", "));
+    }
+    if !list.ended {
+        let end = "note: the last line is not complete: a proxy would take it as half written";
+        eprintln!("{}:{}: {end} (unless complete_end = false)", file.display(), list.end);
+    }
+}
+
+/// The list as it is printed: the order of the fields is that of the manual.
+#[derive(Serialize)]
+struct Printed<'a> {
+    format: &'a str,
+    encoding: &'a str,
+    backends: Vec<PrintedBackend<'a>>,
+}
+
+#[derive(Serialize)]
+struct PrintedBackend<'a> {
+    id: &'a str,
+    address: String,
+    zone: &'a str,
+    cell: u32,
+    weight: f64,
+    state: &'a str,
+}
+
+impl<'a> From<&'a dewpier_inventory::Backend> for PrintedBackend<'a> {
+    fn from(b: &'a dewpier_inventory::Backend) -> Self {
+        Self {
+            id: &b.id,
+            address: b.address.to_string(),
+            zone: &b.zone,
+            cell: b.cell,
+            weight: b.weight,
+            state: b.state.name(),
+        }
+    }
+}
+
+fn as_json(list: &Inventory) -> serde_json::Result<String> {
+    serde_json::to_string(&Printed {
+        format: list.format.name(),
+        encoding: list.encoding.name(),
+        backends: list.backends.iter().map(PrintedBackend::from).collect(),
+    })
+}
--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -37,10 +37,11 @@
 pub enum Answer<R> {
     /// What a backend answered.
     Served(R),
-    /// Not done; trying again is harmless, after so long if that is said.
-    Refused(Option<Time>),
-    /// It may have been done.
-    Failed,
+    /// Not done; trying again is harmless, after so long if that is said. With it the last error
+    /// that a backend worded, where clients are to see it.
+    Refused(Option<Time>, Option<R>),
+    /// It may have been done. With it the same.
+    Failed(Option<R>),
 }
 
 /// What falls due.
@@ -76,12 +77,14 @@
 }
 
 struct Open<U: Upstream> {
-    /// The id that the client gave it.
-    txn: u64,
+    /// The id that the client gave it, if it gave one.
+    txn: Option<u64>,
     answer: oneshot::Sender<Answer<U::Reply>>,
     payload: Rc<U::Payload>,
     until: Time,
     attempts: usize,
+    /// The last error that a backend worded.
+    fallback: Option<U::Reply>,
 }
 
 struct Running {
@@ -199,33 +202,33 @@
         !self.state.borrow().open.is_empty()
     }
 
-    /// Takes in a request, named `txn` by its client, which will wait for `request.budget` seconds.
+    /// Takes in a request, perhaps named `txn` by its client, which will wait for `request.budget` seconds.
     /// The answer comes to the receiver in that time. None if the name is in use.
     pub fn request(
         &self,
-        txn: u64,
+        txn: Option<u64>,
         mut request: Request,
         payload: U::Payload,
     ) -> Option<(RequestId, oneshot::Receiver<Answer<U::Reply>>)> {
         let (answer, receiver) = oneshot::channel();
         let mut state = self.state.borrow_mut();
-        if state.in_use.contains(&txn) {
+        if txn.is_some_and(|txn| state.in_use.contains(&txn)) {
             return None;
         }
         state.requests += 1;
         request.id = RequestId(state.requests);
         if state.open.len() >= self.max_open {
-            let _ = answer.send(Answer::Refused(None)); // the receiver is still here
+            let _ = answer.send(Answer::Refused(None, None)); // the receiver is still here
             return Some((request.id, receiver));
         }
-        state.in_use.insert(txn);
+        state.in_use.extend(txn);
         let now = self.clock.now();
         // The client has waited since it sent, so for as long as the request lay unread too.
         request.budget -= self.lag.get();
         let until = now + request.budget - 0.5 * ANSWER_WAY;
         request.budget -= ANSWER_WAY;
         let payload = Rc::new(payload);
-        state.open.insert(request.id, Open { txn, answer, payload, until, attempts: 0 });
+        state.open.insert(request.id, Open { txn, answer, payload, until, attempts: 0, fallback: None });
         self.set_timer(&mut state, until, Due::Request(request.id));
         state.told.push_back(Told::Event(Event::Request(request)));
         let id = request.id;
@@ -301,6 +304,9 @@
         {
             let _ = open.answer.send(Answer::Served(served)); // if it has left, its guard tells
         }
+        if let (Some(fallback), Some(open)) = (done.fallback, state.open.get_mut(&id)) {
+            open.fallback = Some(fallback);
+        }
         state.told.push_back(Told::Event(Event::Outcome(Ended {
             id,
             backend: running.backend,
@@ -358,7 +364,9 @@
             Action::Cancel { id, attempt } => {
                 self.ended(state, id, attempt, Done::without_answer(Outcome::Cancelled));
             }
-            Action::Refuse { id, retry_after } => answer(state, id, Answer::Refused(retry_after)),
+            Action::Refuse { id, retry_after } => {
+                answer(state, id, |fallback| Answer::Refused(retry_after, fallback));
+            }
             Action::Fail { id } => answer(state, id, Answer::Failed),
             Action::Timer { at, token } => self.set_timer(state, at, Due::Token(token)),
             Action::Probe(backend) => self.probe(state, backend),
@@ -497,13 +505,20 @@
 /// Takes out a request that has its final answer or wants none.
 fn close<U: Upstream>(state: &mut State<U>, id: RequestId) -> Option<Open<U>> {
     let open = state.open.remove(&id)?;
-    state.in_use.remove(&open.txn);
+    if let Some(txn) = open.txn {
+        state.in_use.remove(&txn);
+    }
     Some(open)
 }
 
 /// Gives a request its final answer, if it has had none.
-fn answer<U: Upstream>(state: &mut State<U>, id: RequestId, answer: Answer<U::Reply>) {
-    if let Some(open) = close(state, id) {
-        let _ = open.answer.send(answer); // if it has left, its guard tells
+fn answer<U: Upstream>(
+    state: &mut State<U>,
+    id: RequestId,
+    answer: impl FnOnce(Option<U::Reply>) -> Answer<U::Reply>,
+) {
+    if let Some(mut open) = close(state, id) {
+        let fallback = open.fallback.take();
+        let _ = open.answer.send(answer(fallback)); // if it has left, its guard tells
     }
 }
--- a/src/engine/upstream.rs
+++ b/src/engine/upstream.rs
@@ -67,6 +67,9 @@
     pub outcome: Outcome,
     /// The answer, if it was served.
     pub served: Option<R>,
+    /// What the client is answered if the request ends without being served after all: an error
+    /// that the backend worded, where clients are to see it.
+    pub fallback: Option<R>,
     /// The load report that came along.
     pub report: Option<Report>,
 }
@@ -74,7 +77,7 @@
 impl<R> Done<R> {
     /// An end that brought nothing.
     pub fn without_answer(outcome: Outcome) -> Self {
-        Self { outcome, served: None, report: None }
+        Self { outcome, served: None, fallback: None, report: None }
     }
 }
 
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,12 +1,15 @@
-//! The real proxy: starts it, has it read its configuration again on SIGHUP, stops it on SIGTERM.
+//! The platform's proxy: starts it, has it read its configuration again on SIGHUP, stops it on SIGTERM.
 
 #![forbid(unsafe_code)]
 
+mod command;
+
 use gannetproxy::engine::Engine;
-use gannetproxy::proxy::backend::Http;
+use gannetproxy::proxy::backend::{Answers, Http};
 use gannetproxy::proxy::config::{Config, ConfigError, Wins};
 use gannetproxy::proxy::discovery::Discovery;
 use gannetproxy::proxy::limits::{Budget, Caps};
+use gannetproxy::proxy::request::Dialect;
 use gannetproxy::proxy::server::{self, Server};
 use std::process::ExitCode;
 use thiserror::Error;
@@ -35,6 +38,7 @@
         connect_timeout: config.wire.connect_timeout,
         idle_close: config.wire.idle_close,
         probe_path: if config.settings.probe_for_reports { "/-/load" } else { "/-/healthy" },
+        answers: Answers::Platform,
     };
     let engine = Engine::start(config.settings.clone(), config.wire.bounds(), config.seed, upstream);
     let discovery =
@@ -49,7 +53,7 @@
         }
         std::future::pending().await
     };
-    let server = Server::new(engine, config.settings, config.wire, caps);
+    let server = Server::new(engine, config.settings, config.wire, Dialect::Platform, caps);
     tokio::select! {
         () = server.run(listener, async move { stop.recv().await.unwrap_or_default() }) => {}
         () = reloading => {}
@@ -58,6 +62,9 @@
 }
 
 fn main() -> ExitCode {
+    if std::env::args_os().len() > 1 {
+        return command::run();
+    }
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let ran = runtime.map_err(StartError::from);
     match ran.and_then(|runtime| LocalSet::new().block_on(&runtime, run())) {
--- a/src/proxy/backend.rs
+++ b/src/proxy/backend.rs
@@ -1,6 +1,7 @@
 //! Backends that speak HTTP: their idle connections, attempts and probes on them, and the exact
 //! outcome of each.
 
+use super::headers::end_to_end;
 use super::limits::{Budget, Permit};
 use super::payload::Payload;
 use super::peer::{Peer, Spoilt, connect};
@@ -8,8 +9,8 @@
 use crate::{Outcome, Report};
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::header::{CONTENT_TYPE, HeaderValue};
-use hyper::{Request, StatusCode};
+use hyper::header::{CONTENT_TYPE, HeaderMap, HeaderValue};
+use hyper::{Method, Request, StatusCode};
 use std::cell::{Cell, RefCell};
 use std::future::Future;
 use std::net::SocketAddr;
@@ -79,12 +80,25 @@
     }
 }
 
-/// An answer of a backend.
+/// An answer of a backend, as it goes to the client.
+#[derive(Debug)]
 pub struct Served {
+    /// Its status.
+    pub status: StatusCode,
+    /// Its headers, but for those of the connection.
+    pub headers: HeaderMap,
     /// Its body.
     pub body: Bytes,
-    /// What the body is.
-    pub content_type: Option<HeaderValue>,
+}
+
+/// Which answers of a backend serve a request, and what of them goes on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Answers {
+    /// As the platform has it: 200 alone, with its body and what that is.
+    Platform,
+    /// Plain HTTP: all but server errors, with their headers. A server error is passed on if the
+    /// request comes to nothing better.
+    Plain,
 }
 
 /// All backends that speak HTTP, and what holds for each.
@@ -97,6 +111,8 @@
     pub idle_close: Duration,
     /// The path of a probe.
     pub probe_path: &'static str,
+    /// What counts as served.
+    pub answers: Answers,
 }
 
 impl Upstream for Http {
@@ -144,14 +160,17 @@
         }
     }
 
-    #[expect(clippy::manual_async_fn, reason = "the future of an async fn would borrow self")]
     fn attempt(
         &self,
         endpoint: Rc<Endpoint>,
         payload: Rc<Payload>,
         attempt: Attempt,
     ) -> impl Future<Output = Done<Served>> + 'static {
-        async move { exchange(&endpoint, &attempt, || payload.request(attempt.until - attempt.clock.now())).await }
+        let answers = self.answers;
+        async move {
+            let request = || payload.request(attempt.until - attempt.clock.now());
+            exchange(&endpoint, &attempt, answers, request).await
+        }
     }
 
     fn probe(&self, endpoint: Rc<Endpoint>, attempt: Attempt) -> impl Future<Output = Done<()>> + 'static {
@@ -164,11 +183,11 @@
                 request
             };
             let within = 4 * endpoint.connect_timeout;
-            let probed = exchange(&endpoint, &attempt, request);
+            let probed = exchange(&endpoint, &attempt, Answers::Platform, request);
             let late = Done::without_answer(Outcome::Timeout);
             let done = tokio::time::timeout(within, probed).await.unwrap_or(late);
             let body = done.served.as_ref().and_then(|s| report(&s.body));
-            Done { outcome: done.outcome, served: None, report: done.report.or(body) }
+            Done { outcome: done.outcome, served: None, fallback: None, report: done.report.or(body) }
         }
     }
 }
@@ -176,9 +195,11 @@
 async fn exchange(
     endpoint: &Endpoint,
     attempt: &Attempt,
+    answers: Answers,
     request: impl Fn() -> Request<Full<Bytes>>,
 ) -> Done<Served> {
     let written = &attempt.written;
+    let head_only = request().method() == Method::HEAD;
     let era = endpoint.era.get();
     let mut again = false;
     let (peer, permit, head, body) = loop {
@@ -207,15 +228,27 @@
         endpoint.idle.borrow_mut().push(Idle { peer, permit, since: Instant::now() });
     }
     let turned_away = || head.headers.get("x-turned-away").is_some_and(|v| v == "1");
+    let plain = answers == Answers::Plain;
     let outcome = match head.status {
         StatusCode::OK => Outcome::Served,
         StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if turned_away() => Outcome::Full,
+        status if plain && !status.is_server_error() => Outcome::Served,
         _ => Outcome::Error,
     };
     let report = head.headers.get("x-pressure").and_then(|v| report(v.as_bytes()));
-    let content_type = head.headers.get(CONTENT_TYPE).cloned();
-    let served = (outcome == Outcome::Served).then_some(Served { body, content_type });
-    Done { outcome, served, report }
+    let mut answer = None;
+    if plain || outcome == Outcome::Served {
+        let mut headers = HeaderMap::new();
+        match answers {
+            Answers::Platform => {
+                headers.extend(head.headers.get(CONTENT_TYPE).map(|v| (CONTENT_TYPE, v.clone())));
+            }
+            Answers::Plain => headers = end_to_end(head.headers, head_only),
+        }
+        answer = Some(Served { status: head.status, headers, body });
+    }
+    let (served, fallback) = if outcome == Outcome::Served { (answer, None) } else { (None, answer) };
+    Done { outcome, served, fallback, report }
 }
 
 /// Reads a load report; what the decisions can't use is skipped.
--- a/src/proxy/config.rs
+++ b/src/proxy/config.rs
@@ -64,7 +64,7 @@
 }
 
 /// The part of the settings that sockets need and decisions don't.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct WireSettings {
     /// Class names, in the order of the settings.
     pub classes: Vec<String>,
--- a/src/proxy/listing.rs
+++ b/src/proxy/listing.rs
@@ -65,7 +65,7 @@
     }
 
     /// A number for a backend's name, the same at every proxy: they share out the backends by it.
-    fn id(&mut self, name: &str) -> BackendId {
+    pub fn id(&mut self, name: &str) -> BackendId {
         if let Some(&id) = self.ids.get(name) {
             return id;
         }
--- a/src/proxy/request.rs
+++ b/src/proxy/request.rs
@@ -1,19 +1,29 @@
 //! Reading a client's request and checking it, all that is wrong with it among the errors.
 
 use super::config::WireSettings;
+use super::headers::onward;
 use super::limits::{Budget, MOST_BODY, Permit};
 use super::payload::Payload;
-use crate::{Effect, Request, RequestId, Settings, Time};
+use super::routes::Routes;
+use crate::{Class, Effect, Request, RequestId, Settings, Time};
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
-use hyper::header::{CONNECTION, CONTENT_LENGTH, HOST, HeaderMap, HeaderName};
-use hyper::header::{TE, TRAILER, TRANSFER_ENCODING, UPGRADE};
+use hyper::header::{HeaderMap, TRANSFER_ENCODING};
 use hyper::{Method, StatusCode};
 use std::rc::Rc;
 use thiserror::Error;
 use tokio::time::Instant;
 
+/// How clients speak.
+#[derive(Clone, Debug)]
+pub enum Dialect {
+    /// As the platform's protocol has it: headers tell class, id and time left.
+    Platform,
+    /// Plain HTTP: the class follows from method and path, and the rest has defaults.
+    Plain(Routes),
+}
+
 /// Why a request is not taken.
 #[derive(Debug, Error, PartialEq, Eq)]
 pub enum Unfit {
@@ -65,8 +75,8 @@
 pub struct Asked {
     /// What the module is told; the engine gives it an id of its own.
     pub request: Request,
-    /// The id that the client gave it.
-    pub txn: u64,
+    /// The id that the client gave it, if it gave one.
+    pub txn: Option<u64>,
     /// What is sent on.
     pub payload: Payload,
     /// The room that its body takes.
@@ -79,6 +89,7 @@
     request: hyper::Request<Incoming>,
     settings: &Settings,
     wire: &WireSettings,
+    dialect: &Dialect,
     bodies: &Rc<Budget>,
     until: Instant,
 ) -> Result<Asked, Unfit> {
@@ -93,7 +104,15 @@
     if !head.uri.path().starts_with('/') || head.uri.authority().is_some() {
         return Err(Unfit::Target);
     }
-    let (txn, request) = check(&head.method, &head.headers, settings, wire)?;
+    let (txn, request) = match dialect {
+        Dialect::Platform => {
+            let (txn, request) = check(&head.method, &head.headers, settings, wire)?;
+            (Some(txn), request)
+        }
+        Dialect::Plain(routes) => {
+            (None, plain(&head.method, head.uri.path(), &head.headers, settings, routes)?)
+        }
+    };
     let room = bodies.take(length).ok_or(Unfit::NoRoom)?;
     let body = tokio::time::timeout_at(until, whole(body, length)).await.map_err(|_| Unfit::Late)??;
     let payload = Payload { method: head.method, uri: head.uri, headers: onward(head.headers), body };
@@ -141,16 +160,7 @@
         _ => None,
     };
     let class = &settings.classes[index];
-    // No client waits longer than its class allows; a longer wait would keep timers for weeks.
-    let budget = match single(headers, "x-remaining-ms")? {
-        Some(ms) => {
-            let digits = Some(ms).filter(|ms| ms.bytes().all(|b| b.is_ascii_digit()));
-            let ms = digits.and_then(|ms| ms.parse::<u32>().ok());
-            let ms = ms.ok_or(unfit("X-Remaining-Ms", "whole milliseconds"))?;
-            (Time::from(ms) / 1000.0).min(class.deadline)
-        }
-        None => class.deadline,
-    };
+    let budget = budget(headers, class)?;
     let key = single(headers, "idempotency-key")?;
     let fits = match class.effect {
         Effect::Safe => method == Method::GET,
@@ -169,6 +179,37 @@
     }
 }
 
+/// The time that the client has left. No client waits longer than its class allows; a longer wait
+/// would keep timers for weeks.
+fn budget(headers: &HeaderMap, class: &Class) -> Result<Time, Unfit> {
+    let Some(ms) = single(headers, "x-remaining-ms")? else {
+        return Ok(class.deadline);
+    };
+    let digits = Some(ms).filter(|ms| ms.bytes().all(|b| b.is_ascii_digit()));
+    let ms = digits.and_then(|ms| ms.parse::<u32>().ok());
+    let ms = ms.ok_or(Unfit::Header { name: "X-Remaining-Ms", expected: "whole milliseconds" })?;
+    Ok((Time::from(ms) / 1000.0).min(class.deadline))
+}
+
+/// What the module is told of a request of a client that knows nothing of the platform.
+fn plain(
+    method: &Method,
+    path: &str,
+    headers: &HeaderMap,
+    settings: &Settings,
+    routes: &Routes,
+) -> Result<Request, Unfit> {
+    single(headers, "host")?;
+    let index = routes.class(method, path).ok_or(Unfit::Method)?;
+    let class = &settings.classes[index];
+    let keyed = matches!(class.effect, Effect::Keyed { .. });
+    if keyed && single(headers, "idempotency-key")?.is_none_or(str::is_empty) {
+        return Err(Unfit::Header { name: "Idempotency-Key", expected: "a value, for this class" });
+    }
+    let budget = budget(headers, class)?;
+    Ok(Request { id: RequestId::default(), class: index, tenant: None, key: subject(headers), budget })
+}
+
 /// What a request is about: the cookie `sid`, as it is if it is a key, else scattered.
 fn subject(headers: &HeaderMap) -> Option<u64> {
     let cookies = headers.get_all("cookie").into_iter().filter_map(|v| v.to_str().ok());
@@ -179,23 +220,3 @@
     };
     Some(u64::from_str_radix(sid, 16).unwrap_or_else(|_| scattered()))
 }
-
-/// The headers that go on to backends: all but those of the connection itself.
-fn onward(mut headers: HeaderMap) -> HeaderMap {
-    let named: Vec<HeaderName> = headers
-        .get_all(CONNECTION)
-        .into_iter()
-        .filter_map(|v| v.to_str().ok())
-        .flat_map(|v| v.split(','))
-        .filter_map(|name| name.trim().parse().ok())
-        .filter(|name| *name != HOST)
-        .collect();
-    let own = [CONNECTION, CONTENT_LENGTH, TE, TRAILER, TRANSFER_ENCODING, UPGRADE];
-    for name in named.iter().chain(&own) {
-        headers.remove(name);
-    }
-    for name in ["keep-alive", "proxy-connection", "expect"] {
-        headers.remove(name);
-    }
-    headers
-}
--- a/src/proxy/server.rs
+++ b/src/proxy/server.rs
@@ -4,13 +4,13 @@
 use super::clients::{self, Client, Clients, Place, Socket};
 use super::config::WireSettings;
 use super::limits::{Budget, Caps, MOST_HEAD};
-use super::request::{self, Unfit};
+use super::request::{self, Asked, Dialect, Unfit};
 use crate::engine::{Answer, Engine};
 use crate::{RequestId, Settings, Time};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::Incoming;
-use hyper::header::{CONNECTION, CONTENT_TYPE, HeaderValue, RETRY_AFTER};
+use hyper::header::{CONNECTION, HeaderValue, RETRY_AFTER};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Response, StatusCode};
@@ -48,6 +48,7 @@
     engine: Rc<Engine<Http>>,
     settings: Settings,
     wire: WireSettings,
+    dialect: Dialect,
     /// When SIGTERM came, if it has.
     stopping: Cell<Option<Instant>>,
     /// Idle connections are to be closed.
@@ -80,11 +81,18 @@
 
 impl Server {
     /// A server that keeps to these caps.
-    pub fn new(engine: Rc<Engine<Http>>, settings: Settings, wire: WireSettings, caps: Caps) -> Rc<Self> {
+    pub fn new(
+        engine: Rc<Engine<Http>>,
+        settings: Settings,
+        wire: WireSettings,
+        dialect: Dialect,
+        caps: Caps,
+    ) -> Rc<Self> {
         Rc::new(Self {
             engine,
             settings,
             wire,
+            dialect,
             stopping: Cell::new(None),
             closing: watch::Sender::new(false),
             clients: Clients::new(caps.clients),
@@ -193,6 +201,10 @@
         });
     }
 
+    async fn read(&self, request: hyper::Request<Incoming>, until: Instant) -> Result<Asked, Unfit> {
+        request::read(request, &self.settings, &self.wire, &self.dialect, &self.bodies, until).await
+    }
+
     async fn reply(&self, request: hyper::Request<Incoming>, client: &Client, full: bool) -> Reply {
         if request.uri().path() == "/-/ready" {
             return match self.engine.listed() && self.stopping.get().is_none() {
@@ -201,7 +213,7 @@
             };
         }
         let until = client.read_until();
-        let mut asked = match request::read(request, &self.settings, &self.wire, &self.bodies, until).await {
+        let mut asked = match self.read(request, until).await {
             Ok(asked) => asked,
             Err(unfit) => return refusal(&unfit),
         };
@@ -221,21 +233,22 @@
         let answer = answer.await;
         drop(leaving); // it has had its answer: nothing is told
         match answer {
-            Ok(Answer::Served(served)) => {
+            Ok(Answer::Served(served))
+            | Ok(Answer::Refused(_, Some(served)))
+            | Ok(Answer::Failed(Some(served))) => {
                 let mut reply = Response::new(Full::new(served.body));
-                if let Some(content_type) = served.content_type {
-                    reply.headers_mut().insert(CONTENT_TYPE, content_type);
-                }
+                *reply.status_mut() = served.status;
+                *reply.headers_mut() = served.headers;
                 reply
             }
-            Ok(Answer::Refused(wait)) => {
+            Ok(Answer::Refused(wait, None)) => {
                 let mut reply = plain(StatusCode::SERVICE_UNAVAILABLE, "refused, try again\n");
                 if let Some(wait) = wait.and_then(|w| HeaderValue::from_str(&format!("{w:.3}")).ok()) {
                     reply.headers_mut().insert(RETRY_AFTER, wait);
                 }
                 reply
             }
-            Ok(Answer::Failed) | Err(_) => plain(StatusCode::BAD_GATEWAY, "failed\n"),
+            Ok(Answer::Failed(None)) | Err(_) => plain(StatusCode::BAD_GATEWAY, "failed\n"),
         }
     }
 }
--- /dev/null
+++ b/src/serve/members.rs
@@ -0,0 +1,131 @@
+//! Inventories as news of the list: which nodes are new, which return, which go. No I/O.
+
+use crate::engine::{Listed, News};
+use crate::proxy::listing::{self, Names};
+use crate::{Entry, Status, Time};
+use dewpier_inventory::{Backend, State};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+
+/// What is remembered of a node that is listed.
+#[derive(Clone, Copy, Debug)]
+struct Member {
+    address: SocketAddr,
+    serving: bool,
+    started: Option<Time>,
+}
+
+/// The nodes of the last list. Bounded by the inventory's own bound: what leaves is forgotten.
+#[derive(Debug)]
+pub struct Members {
+    names: Names,
+    zones: Vec<String>,
+    members: HashMap<String, Member>,
+    first: bool,
+}
+
+/// Zones that are told apart. Nodes of further ones count as of no zone: zone names come from a
+/// file that may change for ever, and their numbers are kept for good.
+const MOST_ZONES: usize = 4096;
+
+impl Members {
+    /// No list yet. `zones` are those that have numbers.
+    pub fn new(zones: Vec<String>) -> Self {
+        Self { names: Names::new(Vec::new()), zones, members: HashMap::new(), first: true }
+    }
+
+    /// A list as news, at `now`. Nodes of the first one count as warm. A node that appears later,
+    /// takes requests again after it drained, or is at another address, is a process that has just
+    /// started, as far as anyone can tell: it is sent only what a cold one can take. Which number
+    /// it has follows from its id alone, whatever its row or address.
+    pub fn news(&mut self, list: &[(&Backend, SocketAddr)], now: Time) -> News {
+        let before = std::mem::take(&mut self.members);
+        let mut listed = Vec::with_capacity(list.len());
+        for (backend, address) in list {
+            // A weight of 0 is, as elsewhere, a way to say that nothing new is wanted.
+            let serving = backend.state == State::Serving && backend.weight > 0.0;
+            let known = before.get(&backend.id).filter(|m| m.address == *address && (m.serving || !serving));
+            let started = match known {
+                Some(member) => member.started,
+                None if self.first => None,
+                None => Some(now),
+            };
+            self.members.insert(backend.id.clone(), Member { address: *address, serving, started });
+            let entry = Entry {
+                id: self.names.id(&backend.id),
+                cell: backend.cell,
+                zone: self.zone(&backend.zone),
+                weight: if backend.weight > 0.0 { backend.weight } else { 1.0 },
+                status: if serving { Status::InService } else { Status::Draining },
+                started,
+            };
+            listed.push(Listed { entry, address: *address });
+        }
+        self.first = false;
+        News::Full(listed)
+    }
+
+    /// Forgets the numbers of nodes that nothing names any more.
+    pub fn forget(&mut self, known: impl Fn(crate::BackendId) -> bool) {
+        self.names.forget(known);
+    }
+
+    fn zone(&mut self, name: &str) -> u32 {
+        match self.zones.len() < MOST_ZONES || self.zones.iter().any(|z| z == name) {
+            true => listing::zone_index(&mut self.zones, name),
+            false => MOST_ZONES as u32,
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use dewpier_inventory::Options;
+
+    fn list(members: &mut Members, text: &str, now: Time) -> Vec<Listed> {
+        let read = dewpier_inventory::read(text.as_bytes(), "n.csv", &Options::default()).unwrap();
+        let all: Vec<_> = read.backends.iter().map(|b| (b, b.address.socket().unwrap())).collect();
+        match members.news(&all, now) {
+            News::Full(list) => list,
+            other => panic!("{other:?}"),
+        }
+    }
+
+    #[test]
+    fn a_node_keeps_its_number_over_rows_and_addresses() {
+        let mut members = Members::new(Vec::new());
+        let one = list(&mut members, "id,address\na,10.0.0.1:1\nb,10.0.0.1:2\n", 0.0);
+        let two = list(&mut members, "id,address\nb,10.0.0.1:2\na,10.0.0.1:3\n", 1.0);
+        assert_eq!(one[0].entry.id, two[0].entry.id);
+        assert_eq!(one[1].entry.id, two[1].entry.id);
+        assert_eq!([two[0].entry.started, two[1].entry.started], [Some(1.0), None], "a is elsewhere now");
+    }
+
+    #[test]
+    fn what_returns_is_cold_and_what_stays_is_not() {
+        let mut members = Members::new(Vec::new());
+        let started = |l: &[Listed]| l.iter().map(|l| l.entry.started).collect::<Vec<_>>();
+        let row = |state: &str| format!("id,address,state\na,10.0.0.1:1,\nb,10.0.0.1:2,{state}\n");
+        assert_eq!(started(&list(&mut members, &row("serving"), 0.0)), [None, None]);
+        let drained = list(&mut members, &row("draining"), 1.0);
+        assert_eq!(drained[1].entry.status, Status::Draining);
+        assert_eq!(started(&drained), [None, None]);
+        assert_eq!(started(&list(&mut members, &row("draining"), 2.0)), [None, None]);
+        assert_eq!(
+            started(&list(&mut members, &row("serving"), 3.0)),
+            [None, Some(3.0)],
+            "it took none for a while"
+        );
+        assert_eq!(started(&list(&mut members, &row("serving"), 4.0)), [None, Some(3.0)]);
+        list(&mut members, "id,address\na,10.0.0.1:1\n", 5.0);
+        assert_eq!(started(&list(&mut members, &row("serving"), 6.0)), [None, Some(6.0)]);
+    }
+
+    #[test]
+    fn a_weight_of_nothing_drains() {
+        let mut members = Members::new(Vec::new());
+        let all = list(&mut members, "id,address,weight\na,10.0.0.1:1,0\nb,10.0.0.1:2,0.5\n", 0.0);
+        assert_eq!([all[0].entry.status, all[1].entry.status], [Status::Draining, Status::InService]);
+    }
+}
--- /dev/null
+++ b/src/serve/run.rs
@@ -0,0 +1,140 @@
+//! Starts a proxy from a checked configuration, and feeds it the lists that its inventory gives.
+
+use super::config::{Config, Inventory};
+use super::members::Members;
+use super::resolve::{Resolved, resolve};
+use crate::engine::{Engine, News};
+use crate::proxy::backend::{Answers, Http};
+use crate::proxy::limits::{Budget, Caps};
+use crate::proxy::request::Dialect;
+use crate::proxy::server::{self, Server};
+use dewpier_inventory::Backend;
+use dewpier_inventory::io::{Source, Update};
+use std::collections::hash_map::RandomState;
+use std::hash::{BuildHasher, Hasher};
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+use thiserror::Error;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::{Notify, mpsc};
+
+/// Lists that may wait to be taken in. The thread that reads them waits when there are more.
+const WAITING: usize = 2;
+/// The first list must have come by then.
+const FIRST_WITHIN: Duration = Duration::from_secs(30);
+
+/// Why a proxy does not start.
+#[derive(Debug, Error)]
+pub enum ServeError {
+    /// The system does not let it.
+    #[error("{0}")]
+    Io(#[from] io::Error),
+    /// There is no list that can be used.
+    #[error("{0}")]
+    Inventory(String),
+}
+
+/// Serves until SIGTERM. SIGHUP has the inventory read at once.
+pub async fn until_signals(config: Config) -> Result<(), ServeError> {
+    // The handlers come first: a signal that finds none ends the program.
+    let mut hangup = signal(SignalKind::hangup())?;
+    let mut terminate = signal(SignalKind::terminate())?;
+    let (reload, stop) = (Notify::new(), async move { terminate.recv().await.unwrap_or_default() });
+    let reloading = async {
+        while hangup.recv().await.is_some() {
+            reload.notify_one();
+        }
+        std::future::pending().await
+    };
+    let ready = |address| eprintln!("dewpier: listening on {address}");
+    tokio::select! {
+        ran = run(config, ready, &reload, stop) => ran,
+        () = reloading => Ok(()),
+    }
+}
+
+/// Serves until `stop`, on the address that `ready` is told. `reload` has the inventory read at once.
+/// Runs on a [`tokio::task::LocalSet`].
+pub async fn run(
+    config: Config,
+    ready: impl FnOnce(SocketAddr),
+    reload: &Notify,
+    stop: impl Future<Output = ()>,
+) -> Result<(), ServeError> {
+    let Config { listen, descriptors, memory, inventory, settings, wire, routes } = config;
+    let (updates, mut heard) = mpsc::channel(WAITING);
+    let Inventory { file, options, rules, poll, names } = inventory;
+    let shown = file.display().to_string();
+    // Names are looked up on the thread that reads the file, which nothing else waits for.
+    let resolver = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    let source = Source::start(&file, options, rules, poll, move |update| {
+        let news = match update {
+            Update::Accepted(list) => {
+                let resolved = resolver.block_on(resolve(&list.backends, names));
+                Ok(resolved.map_err(|error| error.to_string())?)
+            }
+            Update::Rejected(why) => Err(why),
+            Update::Notice(text) => {
+                eprintln!("dewpier: {text}");
+                return Ok(());
+            }
+        };
+        let _ = updates.blocking_send(news); // the proxy is ending
+        Ok(())
+    })?;
+    // Nothing is served before there is a list, and a proxy that can't have one says so and ends.
+    let mut members = Members::new(wire.zones.clone());
+    let first: Resolved = match tokio::time::timeout(FIRST_WITHIN, heard.recv()).await {
+        Ok(Some(Ok(list))) => list,
+        Ok(Some(Err(why))) => return Err(ServeError::Inventory(why)),
+        Ok(None) | Err(_) => return Err(ServeError::Inventory(format!("{shown}: no list in time"))),
+    };
+
+    let caps = Caps::new(descriptors, memory);
+    let upstream = Http {
+        connections: Budget::new(caps.backends),
+        connect_timeout: wire.connect_timeout,
+        idle_close: wire.idle_close,
+        probe_path: "/-/healthy",
+        answers: Answers::Plain,
+    };
+    let listener = server::bind(listen)?;
+    let address = listener.local_addr()?;
+    // The keys of the standard hasher are random; no more is needed of a seed.
+    let seed = RandomState::new().build_hasher().finish();
+    let engine = Engine::start(settings.clone(), wire.bounds(), seed, upstream);
+    let remembered = match members.news(&pairs(&first), engine.clock().now()) {
+        News::Full(list) => News::Remembered(list),
+        other => other,
+    };
+    engine.news(remembered);
+    eprintln!("dewpier: {} backends from {shown}", first.len());
+    ready(address);
+    let server = Server::new(engine.clone(), settings, wire, Dialect::Plain(routes), caps);
+    let listing = async move {
+        loop {
+            tokio::select! {
+                news = heard.recv() => match news {
+                    Some(Ok(list)) => {
+                        engine.news(members.news(&pairs(&list), engine.clock().now()));
+                        members.forget(|id| engine.knows(id));
+                        eprintln!("dewpier: {} backends from {shown}", list.len());
+                    }
+                    Some(Err(why)) => eprintln!("dewpier: the last good list serves on: {why}"),
+                    None => std::future::pending().await,
+                },
+                () = reload.notified() => source.reload(),
+            }
+        }
+    };
+    tokio::select! {
+        () = server.run(listener, stop) => {}
+        () = listing => {}
+    }
+    Ok(())
+}
+
+fn pairs(list: &Resolved) -> Vec<(&Backend, SocketAddr)> {
+    list.iter().map(|(backend, address)| (backend, *address)).collect()
+}
--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -6,7 +6,7 @@
 use common::sockets::*;
 use gannetproxy::Outcome;
 use gannetproxy::engine::{Attempt, Clock, Gate, Upstream};
-use gannetproxy::proxy::backend::Http;
+use gannetproxy::proxy::backend::{Answers, Http};
 use gannetproxy::proxy::limits::Budget;
 use gannetproxy::proxy::payload::Payload;
 use serde_json::json;
@@ -194,7 +194,13 @@
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
     let attempt = |last_send: Option<f64>| {
         let connections = Budget::new(4);
-        let http = Http { connections, connect_timeout: LONG, idle_close: LONG, probe_path: "/" };
+        let http = Http {
+            connections,
+            connect_timeout: LONG,
+            idle_close: LONG,
+            probe_path: "/",
+            answers: Answers::Platform,
+        };
         let gate = std::rc::Rc::new(Gate::default());
         gate.update(last_send);
         let made = Attempt { gate, clock: Clock::start(), until: 20.0, written: Default::default() };
