--- a/crates/inventory/src/reload.rs
+++ b/crates/inventory/src/reload.rs
@@ -145,6 +145,8 @@
     good: Option<Good>,
     /// The list that held before it.
     former: Option<Good>,
+    /// The text that was refused last: it is not told of again for each look at it.
+    refused: Option<[u8; 32]>,
     /// The state of the file that was judged last.
     judged: Option<Option<Stamp>>,
     /// A newer one, and since when it stands.
@@ -165,6 +167,7 @@
             rules,
             good: None,
             former: None,
+            refused: None,
             judged: None,
             pending: None,
             restless: None,
@@ -210,7 +213,10 @@
                     return self.looked(now, after, outputs);
                 }
                 (self.judged, self.pending, self.restless) = (Some(after), None, None);
-                match bytes.map_err(Rejection::Unreadable).and_then(|bytes| self.judge(bytes, confirmed)) {
+                match bytes
+                    .map_err(Rejection::Unreadable)
+                    .and_then(|bytes| self.judge(bytes, confirmed, at_once))
+                {
                     Ok(Some(list)) => outputs.push(Output::Accepted(list)),
                     Ok(None) => {}
                     Err(rejection) => outputs.push(Output::Rejected(rejection)),
@@ -251,16 +257,26 @@
     }
 
     /// The list, if it is a new one.
-    fn judge(&mut self, bytes: &[u8], confirmed: Option<&str>) -> Result<Option<Arc<Inventory>>, Rejection> {
+    fn judge(
+        &mut self,
+        bytes: &[u8],
+        confirmed: Option<&str>,
+        at_once: bool,
+    ) -> Result<Option<Arc<Inventory>>, Rejection> {
         let hash: [u8; 32] = Sha256::digest(bytes).into();
         if self.good.as_ref().is_some_and(|(_, known)| *known == hash) {
+            self.refused = None;
             return Ok(None);
         }
+        let confirmed = confirmed.is_some_and(|text| names(text, &hash));
+        if self.refused == Some(hash) && !confirmed && !at_once {
+            return Ok(None);
+        }
+        self.refused = Some(hash);
         let list = crate::read(bytes, &self.name, &self.options)?;
         if self.rules.complete_end && !list.ended {
             return Err(Rejection::CutOff { at: list.end });
         }
-        let confirmed = confirmed.is_some_and(|text| names(text, &hash));
         if let Some((good, _)) = self.good.as_ref().filter(|_| !confirmed) {
             let new: HashSet<&str> = list.backends.iter().map(|b| b.id.as_str()).collect();
             let missing: Vec<&str> =
@@ -272,6 +288,7 @@
                 return Err(Rejection::Vanished { before, gone, most, example });
             }
         }
+        self.refused = None;
         let list = Arc::new(list);
         self.former = self.good.replace((list.clone(), hash));
         Ok(Some(list))
--- /dev/null
+++ b/crates/standins/src/rng.rs
@@ -0,0 +1,39 @@
+//! Random numbers that are the same for the same seed, on every machine and for good.
+
+/// SplitMix64 (Steele, Lea and Flood, "Fast splittable pseudorandom number generators", 2014).
+#[derive(Clone, Debug)]
+pub struct Rng(u64);
+
+impl Rng {
+    /// One that begins at this seed.
+    pub fn new(seed: u64) -> Self {
+        Self(seed)
+    }
+
+    /// The seed that the environment variable names, or this one; printed, so that a failure can be
+    /// played again.
+    pub fn from_env(variable: &str, default: u64) -> Self {
+        let seed = std::env::var(variable).ok().and_then(|text| text.parse().ok()).unwrap_or(default);
+        println!("{variable}={seed}");
+        Self::new(seed)
+    }
+
+    /// The next number.
+    pub fn number(&mut self) -> u64 {
+        self.0 = self.0.wrapping_add(0x9e37_79b9_7f4a_7c15);
+        let mut z = self.0;
+        z = (z ^ (z >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+        z ^ (z >> 31)
+    }
+
+    /// A number below `end`, which is not 0.
+    pub fn below(&mut self, end: usize) -> usize {
+        (self.number() % end.max(1) as u64) as usize
+    }
+
+    /// One of these.
+    pub fn pick<'a, T>(&mut self, of: &'a [T]) -> &'a T {
+        &of[self.below(of.len())]
+    }
+}
--- a/src/proxy/server.rs
+++ b/src/proxy/server.rs
@@ -69,8 +69,15 @@
     }
 }
 
+/// Marks our own answer to what a client got wrong: a backend's 404 is not one.
+#[derive(Clone)]
+struct Unusable;
+
 fn plain(status: StatusCode, text: impl Into<Bytes>) -> Reply {
     let mut reply = Response::new(Full::new(text.into()));
+    if status.is_client_error() {
+        reply.extensions_mut().insert(Unusable);
+    }
     *reply.status_mut() = status;
     reply
 }
@@ -176,7 +183,7 @@
                 client.answered();
                 // What is wrong once is not given another try on the same connection: the rest of
                 // it may be anything, and each try has its price.
-                let wrong = reply.status().is_client_error();
+                let wrong = reply.extensions().get::<Unusable>().is_some();
                 if full || wrong || *server.closing.borrow() {
                     reply.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
                 }
--- a/src/serve/run.rs
+++ b/src/serve/run.rs
@@ -8,8 +8,8 @@
 use crate::proxy::limits::{Budget, Caps};
 use crate::proxy::request::Dialect;
 use crate::proxy::server::{self, Server};
-use dewpier_inventory::Backend;
 use dewpier_inventory::io::{Source, Update};
+use dewpier_inventory::{Backend, State};
 use std::collections::hash_map::RandomState;
 use std::hash::{BuildHasher, Hasher};
 use std::io;
@@ -109,7 +109,7 @@
         other => other,
     };
     engine.news(remembered);
-    eprintln!("dewpier: {} backends from {shown}", first.len());
+    eprintln!("dewpier: {}", summary(&first, &shown));
     ready(address);
     let server = Server::new(engine.clone(), settings, wire, Dialect::Plain(routes), caps);
     let listing = async move {
@@ -119,7 +119,7 @@
                     Some(Ok(list)) => {
                         engine.news(members.news(&pairs(&list), engine.clock().now()));
                         members.forget(|id| engine.knows(id));
-                        eprintln!("dewpier: {} backends from {shown}", list.len());
+                        eprintln!("dewpier: {}", summary(&list, &shown));
                     }
                     Some(Err(why)) => eprintln!("dewpier: the last good list serves on: {why}"),
                     None => std::future::pending().await,
@@ -135,6 +135,11 @@
     Ok(())
 }
 
+fn summary(list: &Resolved, file: &str) -> String {
+    let serving = list.iter().filter(|(b, _)| b.state == State::Serving && b.weight > 0.0).count();
+    format!("{} backends from {file}, {serving} of them serving", list.len())
+}
+
 fn pairs(list: &Resolved) -> Vec<(&Backend, SocketAddr)> {
     list.iter().map(|(backend, address)| (backend, *address)).collect()
 }
--- /dev/null
+++ b/tests/common/served.rs
@@ -0,0 +1,125 @@
+//! The program as `dewpier serve` starts it, with an inventory that the test rewrites.
+
+use dewpier_standins::backend::Backend;
+use dewpier_standins::{LONG, wait_for};
+use std::io::{BufRead, BufReader};
+use std::net::{SocketAddr, TcpStream};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Instant;
+
+static NEXT: AtomicUsize = AtomicUsize::new(0);
+
+/// A folder of the test's own.
+pub fn folder(name: &str) -> PathBuf {
+    let number = NEXT.fetch_add(1, Ordering::SeqCst);
+    let path = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("{name}-{}-{number}", std::process::id()));
+    std::fs::create_dir_all(&path).unwrap();
+    path
+}
+
+/// The program, what it logs, and when.
+pub struct Served {
+    pub child: Child,
+    pub address: SocketAddr,
+    pub file: PathBuf,
+    log: Arc<Mutex<Vec<(Instant, String)>>>,
+}
+
+impl Served {
+    /// Serves the inventory `text`, in a file of that name, with these further settings of the
+    /// inventory's table and those that come behind it.
+    pub fn start(name: &str, text: &[u8], settings: &str) -> Self {
+        let folder = folder("served");
+        let file = folder.join(name);
+        std::fs::write(&file, text).unwrap();
+        Self::of(&file, settings)
+    }
+
+    pub fn of(file: &Path, settings: &str) -> Self {
+        let config = folder("config").join("dewpier.toml");
+        let text =
+            format!("listen = \"127.0.0.1:0\"\n[inventory]\nfile = \"{}\"\n{settings}\n", file.display());
+        std::fs::write(&config, text).unwrap();
+        let mut command = Command::new(env!("CARGO_BIN_EXE_dewpier"));
+        let mut child =
+            command.arg("serve").arg("--config").arg(config).stderr(Stdio::piped()).spawn().unwrap();
+        let log = Arc::new(Mutex::new(Vec::new()));
+        let (lines, stderr) = (log.clone(), BufReader::new(child.stderr.take().unwrap()));
+        std::thread::spawn(move || {
+            for line in stderr.lines().map_while(Result::ok) {
+                lines.lock().unwrap().push((Instant::now(), line));
+            }
+        });
+        let mut served = Self { child, address: ([127, 0, 0, 1], 0).into(), file: file.to_path_buf(), log };
+        let (_, line) = served.logged(0, "listening on ");
+        served.address = line.rsplit(' ').next().unwrap().parse().unwrap();
+        served
+    }
+
+    /// How many lines it has logged.
+    pub fn lines(&self) -> usize {
+        self.log.lock().unwrap().len()
+    }
+
+    /// All of them.
+    pub fn log(&self) -> Vec<String> {
+        self.log.lock().unwrap().iter().map(|(_, line)| line.clone()).collect()
+    }
+
+    /// Waits for a line with these words among those from `from` on.
+    #[track_caller]
+    pub fn logged(&self, from: usize, words: &str) -> (Instant, String) {
+        let start = Instant::now();
+        loop {
+            let found = self.log.lock().unwrap().iter().skip(from).find(|(_, l)| l.contains(words)).cloned();
+            if let Some(found) = found {
+                return found;
+            }
+            assert!(start.elapsed() < LONG, "no '{words}' in {:?}", self.log());
+            std::thread::sleep(std::time::Duration::from_millis(2));
+        }
+    }
+
+    pub fn connect(&self) -> BufReader<TcpStream> {
+        let stream = TcpStream::connect(self.address).unwrap();
+        stream.set_read_timeout(Some(LONG)).unwrap();
+        BufReader::new(stream)
+    }
+
+    pub fn signal(&self, name: &str) {
+        let id = self.child.id().to_string();
+        assert!(Command::new("kill").args([name, &id]).status().unwrap().success());
+    }
+
+    /// Ends it by SIGTERM, and sees that it ends well.
+    pub fn stop(mut self) {
+        self.signal("-TERM");
+        wait_for("exit", || self.child.try_wait().unwrap().is_some());
+        assert_eq!(self.child.wait().unwrap().code(), Some(0));
+    }
+}
+
+impl Drop for Served {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// A table of these backends, by their numbers.
+pub fn table(backends: &[Backend]) -> String {
+    let row =
+        |(i, b): (usize, &Backend)| format!("pricing-{i:02},{},a,{},1,serving,түйін\n", b.address, i / 4);
+    "id,address,zone,cell,weight,state,comment\n".to_string()
+        + &backends.iter().enumerate().map(row).collect::<String>()
+}
+
+/// Replaces a file as careful tools do.
+pub fn replace(file: &Path, text: &[u8]) {
+    let new = file.with_extension("new");
+    std::fs::write(&new, text).unwrap();
+    std::fs::rename(new, file).unwrap();
+}
