Entry: a step in load is no excess, equals go by age; settling connections give way

Seen: closed loops of 64 GETs, aim 20 s, three idle backends: p99 0.19 to 2.7 s, longest 3 to 5 s.

Causes, by a trace of the module: (1) the usual number of calls in flight is the average send rate times the normal answer time, and that average covers 160 s here: after 3 s of quiet it stood at 221 a second while 5,000 were answered, so that 8 calls counted as pressure 1. (2) Equals draw lots once: a request with a bad one waits until its own timer while younger ones with better lots pass.

Mends: the rate is the larger of that of sends and that of answers over 20 normal answer times; lots of equals go by age; a connection that still settles goes where there is no room.

--- a/crates/standins/src/backend.rs
+++ b/crates/standins/src/backend.rs
@@ -2,6 +2,7 @@
 
 use crate::message::{answer, read};
 use crate::wait_for;
+use std::collections::HashMap;
 use std::io::{BufReader, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
@@ -30,7 +31,9 @@
     failing: AtomicBool,
     count: AtomicUsize,
     arrivals: Mutex<Vec<Arrival>>,
-    connections: Mutex<Vec<TcpStream>>,
+    /// A copy of each open connection, by its number.
+    connections: Mutex<HashMap<usize, TcpStream>>,
+    connected: AtomicUsize,
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
@@ -65,11 +68,15 @@
                 if !shared.alive.load(Ordering::SeqCst) {
                     return;
                 }
+                let number = shared.connected.fetch_add(1, Ordering::SeqCst);
                 if let Ok(copy) = stream.try_clone() {
-                    lock(&shared.connections).push(copy);
+                    lock(&shared.connections).insert(number, copy);
                 }
                 let (shared, name) = (shared.clone(), name.clone());
-                std::thread::spawn(move || serve(stream, &shared, &name));
+                std::thread::spawn(move || {
+                    serve(stream, &shared, &name);
+                    lock(&shared.connections).remove(&number);
+                });
             }
         });
     }
@@ -89,7 +96,7 @@
         if self.shared.alive.swap(false, Ordering::SeqCst) {
             // The listener wakes up to see that it is over, and goes.
             let _ = TcpStream::connect(self.address);
-            for stream in lock(&self.shared.connections).drain(..) {
+            for (_, stream) in lock(&self.shared.connections).drain() {
                 let _ = stream.shutdown(Shutdown::Both);
             }
         }
@@ -110,6 +117,11 @@
         self.shared.count.load(Ordering::SeqCst)
     }
 
+    /// How often it was connected to.
+    pub fn connected(&self) -> usize {
+        self.shared.connected.load(Ordering::SeqCst)
+    }
+
     /// What has reached it, in order.
     pub fn arrivals(&self) -> Vec<Arrival> {
         lock(&self.shared.arrivals).clone()
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -38,6 +38,8 @@
 /// answers or a brief jump bring four calls beyond a usual two, and clients who are refused come
 /// back at once and keep it up. It could do harm where backends can't hold as many.
 const FEW: f64 = 2.0;
+/// Calls that are answered at the rate of so many normal answer times past explain themselves.
+const ANSWER_MEMORY: f64 = 20.0;
 /// A call with less than this part of the normal answer time left would be given up half done.
 const HOPELESS: f64 = 0.6;
 /// T1 lies this many mean deviations above the mean answer time, as TCP's timer does.
@@ -206,6 +208,8 @@
     lane: Option<u64>,
     /// It waits for its turn in the lane or at the entry; no attempt of it has been sent.
     held: bool,
+    /// It came beyond its tenant's share.
+    over: bool,
     /// Its place among those that come, 1 being the best: it waits while pressure is above that.
     rank: f64,
     /// It was turned away for want of room, and waits to be sent again.
@@ -280,8 +284,9 @@
     groups: HashMap<Scope, Vec<usize>>,
     subset: Vec<usize>,
     sent: Rate,
-    /// Calls answered.
+    /// Calls answered, over as long as backends may stay cold, and of late.
     served: Rate,
+    lately: Rate,
     normal: Vec<Normal>,
     /// The same over all classes.
     wait: Normal,
@@ -328,6 +333,7 @@
             subset: Vec::new(),
             sent: Rate::new(now),
             served: Rate::new(now),
+            lately: Rate::new(now),
             wait: Normal::default(),
             normal: vec![Normal::default(); settings.classes.len()],
             arrivals: vec![[Rate::new(now); 2]; settings.classes.len()],
@@ -407,6 +413,7 @@
             attempts: Vec::new(),
             lane,
             held: waits || lane.is_some(),
+            over,
             rank,
             turned_away: false,
             other: None,
@@ -416,8 +423,7 @@
         actions.push(Action::Timer { at: until, token: token(slot, LAST) });
         self.held += usize::from(self.calls[slot].held);
         if waits {
-            let place = self.queue.partition_point(|s| self.calls[*s].rank < rank);
-            self.queue.insert(place, slot);
+            self.wait_at_entry(slot);
             let at = self.now + ENTRY_WAIT * patience;
             return actions.push(Action::Timer { at, token: token(slot, TURN) });
         }
@@ -449,6 +455,25 @@
         }
     }
 
+    /// Puts a call in line at the entry. Those of one class that lie within their shares, or those
+    /// that don't, are worth the same, and the lots that they drew among each other go by age: the
+    /// oldest gets the best. Guards against a call that drew badly and is passed by younger ones
+    /// until its time at the entry is over.
+    fn wait_at_entry(&mut self, slot: Slot) {
+        let (class, over, rank) = (self.calls[slot].class, self.calls[slot].over, self.calls[slot].rank);
+        let place = self.queue.partition_point(|s| self.calls[*s].rank < rank);
+        let mut next = slot;
+        for i in 0..place {
+            let (there, its) = (self.queue[i], self.calls[self.queue[i]].rank);
+            if (self.calls[there].class, self.calls[there].over) == (class, over) {
+                self.calls[next].rank = its;
+                next = std::mem::replace(&mut self.queue[i], next);
+            }
+        }
+        self.calls[next].rank = rank;
+        self.queue.insert(place, next);
+    }
+
     /// Lets the next request of a key run, if it may. Guards the order of keys: a request waits
     /// while an earlier one is unfinished or has an attempt without its outcome, whoever ended
     /// it, and while the key rests after an attempt that may still be running.
@@ -544,7 +569,8 @@
     /// chance, one that lasts is not: what passes as chance narrows with its mean over a while.
     fn pressure(&mut self) -> f64 {
         self.sent.age(self.now, self.memory);
-        let usual = self.sent.per_second() * self.wait.mean;
+        self.lately.age(self.now, self.lately_memory());
+        let usual = self.sent.per_second().max(self.lately.per_second()) * self.wait.mean;
         let beyond = (self.crowd() - usual) / usual.max(1.0).sqrt().max(USUAL_SPREAD * usual);
         let keep = (-(self.now - self.excess_at) / (EXCESS_MEMORY * self.memory)).exp();
         self.excess = beyond + (self.excess - beyond) * keep;
@@ -556,6 +582,10 @@
         (beyond / chance - 1.0).clamp(0.0, 1.0)
     }
 
+    fn lately_memory(&self) -> Time {
+        ANSWER_MEMORY * self.wait.mean.max(self.settings.quantum)
+    }
+
     /// Calls in flight at each sound backend, if all balancers have as many as this one.
     fn each(&self) -> f64 {
         let sound = self.sound().count() as f64;
@@ -805,6 +835,7 @@
                     Served => {
                         self.backends[backend].answered_at = self.now;
                         self.served.add(self.now, self.memory);
+                        self.lately.add(self.now, self.lately_memory());
                         self.learn(backend, class, ended.took, false);
                         let calm = self.pressure() <= 0.0;
                         let took = ended.took.min(NORMAL_REACH * self.settings.classes[class].aim);
--- a/src/proxy/backend.rs
+++ b/src/proxy/backend.rs
@@ -74,7 +74,16 @@
                 return Some((peer, permit, false));
             }
         }
-        let permit = self.budget.take(1)?;
+        // Where there is no room for one more, a connection that still has to settle goes for it.
+        // Guards against attempts that fail while the backend is idle: at many requests a second
+        // more connections settle than may be open.
+        let permit = match self.budget.take(1) {
+            Some(permit) => permit,
+            None => {
+                let mut idle = self.idle.borrow_mut();
+                (!idle.is_empty()).then(|| idle.remove(0).permit)?
+            }
+        };
         let peer = connect(self.address.get(), self.connect_timeout).await.ok()?;
         Some((peer, permit, true))
     }
