--- a/crates/inventory/src/collect.rs
+++ b/crates/inventory/src/collect.rs
@@ -36,6 +36,16 @@
         }
     }
 
+    /// Makes room for so many nodes, if so many may be: growing step by step would hash and move
+    /// all of them over and over.
+    pub fn reserve(&mut self, nodes: usize) {
+        let nodes = nodes.min(self.options.max_rows);
+        self.nodes.reserve(nodes);
+        self.spots.reserve(nodes);
+        self.ids.reserve(nodes, |_| 0);
+        self.addresses.reserve(nodes, |_| 0);
+    }
+
     /// Checks and takes in a node. One that has no id is named by its address.
     pub fn add(&mut self, fields: &Fields<'_>) -> Result<(), Fault> {
         let most = self.options.max_rows;
--- a/crates/inventory/src/fields.rs
+++ b/crates/inventory/src/fields.rs
@@ -57,7 +57,10 @@
         let digits = |t: &str| !t.is_empty() && t.bytes().all(|b| b.is_ascii_digit());
         let plain = digits(whole) && (whole == "0" || !whole.starts_with('0')) && part.is_none_or(digits);
         // Plain digits alone: no exponent, no sign, nothing that one reader takes for infinity.
-        let value = format!("{whole}.{}", part.unwrap_or("0")).parse::<f64>();
+        let value = match part {
+            Some(part) if comma => format!("{whole}.{part}").parse::<f64>(),
+            _ => text.parse::<f64>(),
+        };
         match value {
             Ok(weight) if plain && weight.is_finite() => Ok(weight),
             _ => Err(self.fault("weight", expected)),
--- a/crates/inventory/src/formats/csv.rs
+++ b/crates/inventory/src/formats/csv.rs
@@ -6,7 +6,7 @@
 use crate::fields::{Fields, Raw};
 use crate::refusal::{Fault, Problem, Spot, shown};
 use crate::{Backend, Options, Place, Refusal};
-use ::csv::{ReaderBuilder, StringRecord, Trim};
+use ::csv::{ByteRecord, ReaderBuilder, StringRecord, Trim};
 
 const SEPARATORS: [u8; 3] = [b',', b';', b'\t'];
 /// What each field may be called, the usual name first; letters only, in lower case.
@@ -77,61 +77,44 @@
     /// value, text behind a closing quote, and lines that end in a carriage return alone.
     fn check_quotes(&self) -> Result<(), (usize, &'static str, &'static str)> {
         let bytes = self.text.as_bytes();
+        let returns = memchr::memchr(b'\r', bytes).is_some();
         let lone = |at: usize| bytes.get(at + 1) != Some(&b'\n');
-        if memchr::memchr(b'"', bytes).is_none() {
-            return match memchr::memchr_iter(b'\r', bytes).find(|at| lone(*at)) {
-                Some(at) => Err((at, "lines that end in CRLF or LF", "a carriage return alone")),
-                None => Ok(()),
-            };
-        }
         let mut at = self.start;
-        while at < bytes.len() {
-            // At the start of a value.
-            if bytes[at] == b'"' {
-                let opened = at;
-                loop {
-                    let Some(found) = memchr::memchr(b'"', &bytes[at + 1..]) else {
-                        return Err((opened, "a closing quote", "the end of the file"));
-                    };
-                    at += found + 2;
-                    if bytes.get(at) != Some(&b'"') {
-                        break;
-                    }
-                }
-                match bytes.get(at) {
-                    Some(b'\r') if !lone(at) => at += 1,
-                    Some(b'\n') | None => {}
-                    Some(b) if *b == self.separator => {}
-                    _ => {
-                        return Err((
-                            at,
-                            "a separator or the end of the line behind a closing quote",
-                            "more text",
-                        ));
-                    }
+        loop {
+            // Up to the next quote there is nothing but bare values.
+            let quote = memchr::memchr(b'"', &bytes[at..]).map(|found| at + found);
+            let bare = at..quote.unwrap_or(bytes.len());
+            if returns && let Some(found) = bare.clone().find(|&i| bytes[i] == b'\r' && lone(i)) {
+                return Err((found, "lines that end in CRLF or LF", "a carriage return alone"));
+            }
+            let Some(opened) = quote else {
+                return Ok(());
+            };
+            let begins = |before: u8| before == b'\n' || before == self.separator;
+            if opened > self.start && !begins(bytes[opened - 1]) {
+                let expected = "quotes around a whole value, doubled within it";
+                return Err((opened, expected, "a quote within a bare value"));
+            }
+            at = opened;
+            loop {
+                let Some(found) = memchr::memchr(b'"', &bytes[at + 1..]) else {
+                    return Err((opened, "a closing quote", "the end of the file"));
+                };
+                at += found + 2;
+                if bytes.get(at) != Some(&b'"') {
+                    break;
                 }
-            } else {
-                while let Some(&b) = bytes.get(at) {
-                    match b {
-                        b'"' => {
-                            return Err((
-                                at,
-                                "quotes around a whole value, doubled within it",
-                                "a quote within a bare value",
-                            ));
-                        }
-                        b'\r' if lone(at) => {
-                            return Err((at, "lines that end in CRLF or LF", "a carriage return alone"));
-                        }
-                        b'\n' => break,
-                        _ if b == self.separator => break,
-                        _ => at += 1,
-                    }
+            }
+            match bytes.get(at) {
+                Some(b'\n') | None => {}
+                Some(b'\r') if !lone(at) => {}
+                Some(b) if *b == self.separator => {}
+                _ => {
+                    let expected = "a separator or the end of the line behind a closing quote";
+                    return Err((at, expected, "more text"));
                 }
             }
-            at += 1;
         }
-        Ok(())
     }
 
     /// Where a value of a row begins: a spot is the row's offset and the value's number.
@@ -214,16 +197,17 @@
         .flexible(true)
         .trim(Trim::None)
         .from_reader(body);
-    let offset = |record: &StringRecord| {
+    let offset = |record: &ByteRecord| {
         let at = table.start as u64 + record.position().map_or(0, |p| p.byte());
         u32::try_from(at).unwrap_or(u32::MAX)
     };
     let syntax = |at: Spot, expected: &str, found: String| {
         Fault::new(at, Problem::Syntax { expected: expected.into(), found })
     };
-    let mut record = StringRecord::new();
-    let mut next = |record: &mut StringRecord| {
-        let more = reader.read_record(record);
+    // Bytes, as all of the text is known to be UTF-8 and most of it is never looked at.
+    let mut record = ByteRecord::new();
+    let mut next = |record: &mut ByteRecord| {
+        let more = reader.read_byte_record(record);
         more.map_err(|error| syntax(Spot(0, 0), "CSV", error.to_string()))
     };
     if !next(&mut record)? {
@@ -235,8 +219,11 @@
         return Err(Fault::new(Spot(offset(&record), 0), Problem::TooMuch { what, most, found }));
     }
     let header = offset(&record);
-    let (columns, aside) = table.columns(&record, |i| Spot(header, i as u32))?;
+    let names = StringRecord::from_byte_record(record.clone());
+    let names = names.map_err(|error| syntax(Spot(header, 0), "text", error.to_string()))?;
+    let (columns, aside) = table.columns(&names, |i| Spot(header, i as u32))?;
     let mut collector = Collector::new(options);
+    collector.reserve(memchr::memchr_iter(b'\n', body).count());
     while next(&mut record)? {
         let start = offset(&record);
         let at = Spot(start, 0);
@@ -245,31 +232,33 @@
             return Err(syntax(at, &format!("{width} values, as the header has"), found));
         }
         // Spreadsheets write rows of separators below a table.
-        if record.iter().all(|value| value.trim().is_empty()) {
+        if record.iter().all(|value| value.trim_ascii().is_empty()) {
             continue;
         }
-        let field = |i: usize| {
-            let column = columns.0[i]?;
-            let text = record.get(column)?;
-            (!text.trim().is_empty()).then_some(Raw { text, at: Spot(start, column as u32) })
-        };
-        let id = match (columns.0[0], field(0)) {
-            (Some(column), None) => {
-                let at = Spot(start, column as u32);
-                return Err(Fault::value(at, "id", "a name, as the other rows have", "nothing"));
-            }
-            (_, id) => id,
+        let field = |i: usize| -> Result<Option<Raw<'_>>, Fault> {
+            let Some(column) = columns.0[i] else {
+                return Ok(None);
+            };
+            let at = Spot(start, column as u32);
+            let text = record.get(column).map(std::str::from_utf8).transpose();
+            let text = text.map_err(|error| syntax(at, "text", error.to_string()))?;
+            Ok(text.filter(|text| !text.trim().is_empty()).map(|text| Raw { text, at }))
         };
+        let id = field(0)?;
+        if let (Some(column), None) = (columns.0[0], id) {
+            let at = Spot(start, column as u32);
+            return Err(Fault::value(at, "id", "a name, as the other rows have", "nothing"));
+        }
         collector.add(&Fields {
             at,
             id,
-            address: field(1),
-            host: field(2),
-            port: field(3),
-            zone: field(4),
-            cell: field(5),
-            weight: field(6),
-            state: field(7),
+            address: field(1)?,
+            host: field(2)?,
+            port: field(3)?,
+            zone: field(4)?,
+            cell: field(5)?,
+            weight: field(6)?,
+            state: field(7)?,
             comma: table.separator != b',',
         })?;
     }
