Refuse a group where there are none, and a default port of 0; one counting allocator

Seen on reading the whole change: a group named for a table was passed over in silence, and so was default_port = 0. Both are refused now with their place.

--- a/crates/inventory/benches/read.rs
+++ b/crates/inventory/benches/read.rs
@@ -3,32 +3,15 @@
 //!
 //! `cargo bench -p dewpier-inventory`
 
+#[path = "../tests/common/counting.rs"]
+mod counting;
+
+use counting::{Counting, MOST, NOW};
 use dewpier_inventory::{Format, Options};
-use std::alloc::{GlobalAlloc, Layout, System};
 use std::hint::black_box;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
-/// Counts what is allocated, so that memory is measured and not guessed.
-struct Counting;
-
-static NOW: AtomicUsize = AtomicUsize::new(0);
-static MOST: AtomicUsize = AtomicUsize::new(0);
-
-// SAFETY: all is handed on to the system's allocator; only sums are kept beside.
-unsafe impl GlobalAlloc for Counting {
-    unsafe fn alloc(&self, layout: Layout) -> *mut u8 {
-        let now = NOW.fetch_add(layout.size(), Ordering::Relaxed) + layout.size();
-        MOST.fetch_max(now, Ordering::Relaxed);
-        unsafe { System.alloc(layout) }
-    }
-
-    unsafe fn dealloc(&self, pointer: *mut u8, layout: Layout) {
-        NOW.fetch_sub(layout.size(), Ordering::Relaxed);
-        unsafe { System.dealloc(pointer, layout) }
-    }
-}
-
 #[global_allocator]
 static ALLOCATOR: Counting = Counting;
 
--- a/crates/inventory/src/formats/mod.rs
+++ b/crates/inventory/src/formats/mod.rs
@@ -72,7 +72,15 @@
         Some(format) => format == Format::Csv,
         None => looks_tabular(name, &text),
     };
+    let only_ansible = |format: Format| match &options.group {
+        Some(group) if format != Format::Ansible => {
+            let (what, expected) = (format!("group '{group}'"), "an Ansible inventory".to_string());
+            Err(Problem::Value { what, expected, found: format!("the form {format}") })
+        }
+        _ => Ok(()),
+    };
     if tabular {
+        only_ansible(Format::Csv).map_err(|problem| Refusal { at: START, problem })?;
         let (backends, aside) = csv::read(&text, options)?;
         return Ok(Inventory { format: Format::Csv, encoding, backends, ended, end, aside });
     }
@@ -83,6 +91,7 @@
             return Err(Fault::new(Spot(1, 1), Problem::Empty { found: "an empty document".into() }));
         };
         let format = options.format.unwrap_or_else(|| shape(&root));
+        only_ansible(format).map_err(|problem| Fault::new(Spot(1, 1), problem))?;
         let (backends, aside) = match format {
             Format::Ansible => ansible::read(&root, options)?,
             Format::FileSd => file_sd::read(&root, options)?,
--- a/crates/inventory/tests/memory.rs
+++ b/crates/inventory/tests/memory.rs
@@ -1,32 +1,16 @@
 //! What hostile files may make the reader allocate: bounded by their size and the bound on nodes,
 //! whatever they stand for.
 
+#[path = "common/counting.rs"]
+mod counting;
+
+use counting::{Counting, MOST, NOW};
 use dewpier_inventory::Options;
-use std::alloc::{GlobalAlloc, Layout, System};
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::Ordering;
 
 /// Values of YAML for each node that may be.
 const VALUES: usize = 16;
 
-struct Counting;
-
-static NOW: AtomicUsize = AtomicUsize::new(0);
-static MOST: AtomicUsize = AtomicUsize::new(0);
-
-// SAFETY: all is handed on to the system's allocator; only sums are kept beside.
-unsafe impl GlobalAlloc for Counting {
-    unsafe fn alloc(&self, layout: Layout) -> *mut u8 {
-        let now = NOW.fetch_add(layout.size(), Ordering::Relaxed) + layout.size();
-        MOST.fetch_max(now, Ordering::Relaxed);
-        unsafe { System.alloc(layout) }
-    }
-
-    unsafe fn dealloc(&self, pointer: *mut u8, layout: Layout) {
-        NOW.fetch_sub(layout.size(), Ordering::Relaxed);
-        unsafe { System.dealloc(pointer, layout) }
-    }
-}
-
 #[global_allocator]
 static ALLOCATOR: Counting = Counting;
 
--- a/crates/inventory/tests/refused.rs
+++ b/crates/inventory/tests/refused.rs
@@ -271,6 +271,9 @@
     let group = Options { group: Some("big".into()), ..Options::default() };
     let big = dewpier_inventory::read(text.as_bytes(), "hosts.yaml", &group).unwrap();
     assert_eq!(big.backends.len(), 1);
+    let told =
+        dewpier_inventory::read(b"id,address\na,10.0.0.1:80\n", "n.csv", &group).unwrap_err().to_string();
+    assert_eq!(told, "1:1: group 'big': expected an Ansible inventory, found the form csv");
     let none = Options { group: Some("bigger".into()), ..Options::default() };
     let told = dewpier_inventory::read(text.as_bytes(), "hosts.yaml", &none).unwrap_err().to_string();
     assert!(told.contains("the group 'bigger'") && told.contains("pricing"), "{told}");
--- a/src/serve/config.rs
+++ b/src/serve/config.rs
@@ -97,7 +97,7 @@
     format: Option<Spanned<String>>,
     encoding: Option<Spanned<String>>,
     group: Option<String>,
-    default_port: Option<u16>,
+    default_port: Option<Spanned<i64>>,
     #[serde(default)]
     names: Names,
     settle_ms: Option<Spanned<i64>>,
@@ -343,6 +343,8 @@
         Some((span, name)) => Some(name.parse::<Encoding>().map_err(|message| Wrong { span, message })?),
         None => None,
     };
+    let default_port = whole(&raw.default_port, "default_port", [1, 65_535], 1)?;
+    let default_port = raw.default_port.as_ref().and_then(|_| u16::try_from(default_port).ok());
     let settle = rules.settle.as_millis() as i64;
     Ok(Inventory {
         file: path.parent().unwrap_or(Path::new("")).join(file),
@@ -350,7 +352,7 @@
             format,
             encoding,
             group: raw.group.clone(),
-            default_port: raw.default_port.filter(|port| *port > 0),
+            default_port,
             max_bytes: whole(&raw.max_bytes, "max_bytes", [1, 1 << 30], defaults.max_bytes as i64)? as usize,
             max_rows: whole(&raw.max_nodes, "max_nodes", [1, 1 << 20], defaults.max_rows as i64)? as usize,
         },
@@ -460,6 +462,7 @@
             (&format!("{LEAST}fil = 1\n"), "4:1", "unknown field `fil`"),
             (&format!("{LEAST}max_vanish = 1.5\n"), "4:14", "a number from 0 to 1, found 1.5"),
             (&format!("{LEAST}max_vanish = nan\n"), "4:14", "a number from 0 to 1, found NaN"),
+            (&format!("{LEAST}default_port = 0\n"), "4:16", "1 to 65535, found 0"),
             (&format!("{LEAST}settle_ms = -1\n"), "4:13", "0 to 60000"),
             (&format!("{LEAST}encoding = \"koi8-r\"\n"), "4:12", "kz-1048"),
             (&format!("{LEAST}format = \"xml\"\n"), "4:10", "file_sd"),
