--- /dev/null
+++ b/crates/plan/src/follower.rs
@@ -0,0 +1,226 @@
+//! The forwarder's side: which plan it goes by, which drains it knows ahead of any plan, and how
+//! long it may go by what it has.
+
+use crate::{Asked, Delta, MOST_NODES, MOST_PLANNERS, Mark, Node, Plan, Told, Version};
+use std::collections::{HashMap, HashSet, VecDeque};
+use std::time::Duration;
+use thiserror::Error;
+
+/// Beats without an answer that are remembered, for each planner.
+const MOST_BEATS: usize = 16;
+/// The longest lease that a planner may give: one that is told of a longer one holds it for so long.
+pub const MOST_LEASE: Duration = Duration::from_secs(10);
+
+/// Why a message changes nothing. Each kind is counted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Error)]
+pub enum Refused {
+    /// It is no newer than the plan that holds: a replay, a late packet, or a planner left behind.
+    #[error("it is no newer than the plan that holds")]
+    Old,
+    /// It changes a plan that is not here; the whole one is asked for.
+    #[error("it changes a plan that is not here")]
+    Unfit,
+    /// It answers a question that was not asked, or was asked long ago.
+    #[error("it answers nothing that was asked")]
+    Unasked,
+    /// More planners or nodes than there may be.
+    #[error("it is more than there may be")]
+    TooMuch,
+}
+
+/// What came of a message.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Heard {
+    /// The nodes to go by have changed: ask [`Follower::nodes`].
+    Changed,
+    /// Nothing to do.
+    Noted,
+    /// Nothing was taken.
+    Refused(Refused),
+    /// Nothing was taken, and that planner is to be asked.
+    Ask(Asked),
+}
+
+/// How far what it has can be relied on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum State {
+    /// There is no plan yet.
+    Empty,
+    /// A planner has vouched for the plan, and its word still holds.
+    Leased,
+    /// No planner has for too long. It goes on by what it has: see the design note.
+    Silent,
+}
+
+/// Questions to one planner that are open: their numbers and when they were asked.
+type Beats = VecDeque<(u64, Duration)>;
+
+/// A follower of several planners.
+#[derive(Debug, Default)]
+pub struct Follower {
+    plan: Option<Plan>,
+    /// Drains that were told ahead of a plan, by node: the news of each planner that no plan has
+    /// heard yet.
+    drains: HashMap<String, Vec<(u32, Mark)>>,
+    /// For each planner, by its place among the addresses.
+    beats: HashMap<usize, Beats>,
+    asked: u64,
+    until: Option<Duration>,
+    refused: HashMap<Refused, u64>,
+}
+
+impl Follower {
+    /// The version of the plan that holds.
+    pub fn version(&self) -> Option<Version> {
+        self.plan.as_ref().map(|p| p.version)
+    }
+
+    /// The nodes to go by: those of the plan, with what is known to drain draining.
+    pub fn nodes(&self) -> Vec<Node> {
+        let nodes = self.plan.iter().flat_map(|p| &p.nodes);
+        nodes.map(|n| Node { draining: n.draining || self.drains.contains_key(&n.id), ..n.clone() }).collect()
+    }
+
+    /// How far these can be relied on at `now`.
+    pub fn state(&self, now: Duration) -> State {
+        match (&self.plan, self.until) {
+            (None, _) => State::Empty,
+            (Some(_), Some(until)) if now < until => State::Leased,
+            _ => State::Silent,
+        }
+    }
+
+    /// How often each kind of message was refused.
+    pub fn refused(&self) -> &HashMap<Refused, u64> {
+        &self.refused
+    }
+
+    /// The question to put to a planner at `now`. A lease counts from here.
+    pub fn ask(&mut self, planner: usize, now: Duration) -> Asked {
+        self.asked += 1;
+        let number = self.asked;
+        let beats = self.beats.entry(planner).or_default();
+        if beats.len() >= MOST_BEATS {
+            beats.pop_front();
+        }
+        beats.push_back((number, now));
+        Asked::Beat { number }
+    }
+
+    /// The connection to a planner is gone, and with it the answers to what was asked there.
+    pub fn lost(&mut self, planner: usize) {
+        self.beats.remove(&planner);
+    }
+
+    /// Takes in what the planner at that place says.
+    pub fn hear(&mut self, planner: usize, told: Told) -> Heard {
+        let heard = match told {
+            Told::Full(plan) => self.full(plan),
+            Told::Delta(delta) => self.delta(delta),
+            Told::Drain { planner, mark, id } => self.drain(planner, mark, id),
+            Told::Beat { number, version, lease_ms } => self.beat(planner, number, version, lease_ms),
+        };
+        if let Heard::Refused(why) = &heard {
+            *self.refused.entry(*why).or_default() += 1;
+        }
+        heard
+    }
+
+    fn full(&mut self, plan: Plan) -> Heard {
+        if plan.version.generation == 0 || self.version().is_some_and(|has| plan.version <= has) {
+            return Heard::Refused(Refused::Old);
+        }
+        if plan.nodes.len() > MOST_NODES {
+            return Heard::Refused(Refused::TooMuch);
+        }
+        self.take(plan)
+    }
+
+    fn delta(&mut self, delta: Delta) -> Heard {
+        let Some(plan) = &self.plan else {
+            return Heard::Ask(Asked::Resend);
+        };
+        if delta.to <= plan.version {
+            return Heard::Refused(Refused::Old);
+        }
+        if delta.from != plan.version {
+            return Heard::Ask(Asked::Resend);
+        }
+        let changed = delta.gone.iter().chain(delta.set.iter().map(|n| &n.id));
+        let changed: HashSet<&String> = changed.collect();
+        let kept = plan.nodes.iter().filter(|n| !changed.contains(&n.id)).cloned();
+        let mut nodes: Vec<Node> = kept.chain(delta.set.iter().cloned()).collect();
+        if nodes.len() > MOST_NODES {
+            return Heard::Refused(Refused::TooMuch);
+        }
+        nodes.sort_by(|a, b| a.id.cmp(&b.id));
+        // What the planners have heard only grows.
+        let mut heard: HashMap<u32, Mark> = plan.heard.iter().copied().collect();
+        for (planner, mark) in delta.heard {
+            let known = heard.entry(planner).or_default();
+            *known = mark.max(*known);
+        }
+        if heard.len() > MOST_PLANNERS {
+            return Heard::Refused(Refused::TooMuch);
+        }
+        self.take(Plan { version: delta.to, nodes, heard: heard.into_iter().collect() })
+    }
+
+    fn take(&mut self, plan: Plan) -> Heard {
+        // A drain that was told ahead gives way to a plan only if that plan has heard of it: a
+        // planner that has not may not bring the node back.
+        let heard: HashMap<u32, Mark> = plan.heard.iter().copied().collect();
+        let unheard = |(planner, mark): &(u32, Mark)| heard.get(planner).is_none_or(|known| known < mark);
+        self.drains.retain(|_, news| {
+            news.retain(unheard);
+            !news.is_empty()
+        });
+        self.plan = Some(plan);
+        Heard::Changed
+    }
+
+    fn drain(&mut self, planner: u32, mark: Mark, id: String) -> Heard {
+        let Some(plan) = &self.plan else {
+            return Heard::Noted; // what is not known is not sent to
+        };
+        let heard = plan.heard.iter().any(|(p, known)| *p == planner && *known >= mark);
+        // Only nodes of the plan, and never more than may be, though those that leave it stay
+        // drained until the news is heard.
+        if self.drains.len() >= MOST_NODES {
+            return Heard::Refused(Refused::TooMuch);
+        }
+        if heard || !plan.nodes.iter().any(|n| n.id == id) {
+            return Heard::Refused(Refused::Old);
+        }
+        let news = self.drains.entry(id).or_default();
+        match news.iter().position(|(p, _)| *p == planner) {
+            Some(known) if news[known].1 >= mark => return Heard::Refused(Refused::Old),
+            Some(known) => news[known].1 = mark,
+            None if news.len() >= MOST_PLANNERS => return Heard::Refused(Refused::TooMuch),
+            None => news.push((planner, mark)),
+        }
+        Heard::Changed
+    }
+
+    fn beat(&mut self, planner: usize, number: u64, version: Version, lease_ms: u64) -> Heard {
+        let Some(beats) = self.beats.get_mut(&planner) else {
+            return Heard::Refused(Refused::Unasked);
+        };
+        let Some(place) = beats.iter().position(|(n, _)| *n == number) else {
+            return Heard::Refused(Refused::Unasked);
+        };
+        let (_, asked) = beats[place];
+        beats.drain(..=place); // an answer is given once
+        match self.version() {
+            // It vouches for a plan that is not here: the word does not hold for this one.
+            has if has < Some(version) => Heard::Ask(Asked::Resend),
+            // A planner that is behind has nothing to say of this plan.
+            has if has > Some(version) => Heard::Refused(Refused::Old),
+            _ => {
+                let until = asked + Duration::from_millis(lease_ms).min(MOST_LEASE);
+                self.until = Some(self.until.map_or(until, |known| known.max(until)));
+                Heard::Noted
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/plan/src/io/follow.rs
@@ -0,0 +1,140 @@
+//! A forwarder's side: a connection to each planner, all the time.
+
+use super::frame;
+use crate::wire::{MOST_TOLD, WireError, read_told, write_asked};
+use crate::{Asked, Follower, Heard, Told};
+use std::cell::RefCell;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+
+/// A planner must take a connection within this.
+const CONNECT_WITHIN: Duration = Duration::from_millis(500);
+/// The waits between two tries, doubled from the one to the other.
+const BACKOFF: [Duration; 2] = [Duration::from_millis(50), Duration::from_secs(1)];
+/// A planner that has said nothing for so many beats is connected to anew.
+const BEATS_SILENT: u32 = 20;
+/// Messages that wait to be taken in.
+const WAITING: usize = 16;
+
+/// How planners are followed.
+#[derive(Clone, Debug)]
+pub struct Following {
+    /// Where the planners are.
+    pub planners: Vec<SocketAddr>,
+    /// The forwarder's name.
+    pub name: String,
+    /// How often each planner is asked.
+    pub beat: Duration,
+    /// From when the follower's time counts.
+    pub start: Instant,
+}
+
+/// Follows all planners until it is dropped; `changed` is called whenever the nodes to go by have
+/// changed. Runs on one thread.
+pub async fn follow(following: Following, follower: Rc<RefCell<Follower>>, changed: impl Fn(&Follower)) {
+    let (told, mut heard) = mpsc::channel::<(usize, Word)>(WAITING);
+    let mut tasks = tokio::task::JoinSet::new();
+    let mut writers: Vec<Option<mpsc::Sender<Asked>>> = vec![None; following.planners.len()];
+    for (planner, address) in following.planners.iter().enumerate() {
+        tasks.spawn(connected(planner, *address, following.beat, told.clone()));
+    }
+    while let Some((planner, word)) = heard.recv().await {
+        let now = following.start.elapsed();
+        let mut follower = follower.borrow_mut();
+        match word {
+            Word::Up(writer) => {
+                let has = follower.version();
+                let _ = writer.try_send(Asked::Hello { name: following.name.clone(), has });
+                writers[planner] = Some(writer);
+            }
+            Word::Down => {
+                writers[planner] = None;
+                follower.lost(planner);
+            }
+            Word::Beat => {
+                let question = follower.ask(planner, now);
+                // A connection that takes no questions gets none, and its lease ends.
+                writers[planner].iter().for_each(|w| drop(w.try_send(question.clone())));
+            }
+            Word::Told(told) => match follower.hear(planner, told) {
+                Heard::Changed => changed(&follower),
+                Heard::Ask(question) => {
+                    writers[planner].iter().for_each(|w| drop(w.try_send(question.clone())));
+                }
+                Heard::Noted | Heard::Refused(_) => {}
+            },
+        }
+    }
+}
+
+enum Word {
+    Up(mpsc::Sender<Asked>),
+    Down,
+    Beat,
+    Told(Told),
+}
+
+/// Keeps a connection to one planner, and hands on what it says and when it is to be asked.
+async fn connected(planner: usize, address: SocketAddr, beat: Duration, told: mpsc::Sender<(usize, Word)>) {
+    let mut backoff = BACKOFF[0];
+    loop {
+        let up = Instant::now();
+        if let Err(error) = connection(planner, address, beat, &told).await
+            && error.kind() == io::ErrorKind::InvalidData
+        {
+            eprintln!("forwarder: planner {address}: {error}");
+        }
+        if told.send((planner, Word::Down)).await.is_err() {
+            return;
+        }
+        // One that held for a while begins again at the shortest wait.
+        backoff = if up.elapsed() > BACKOFF[1] { BACKOFF[0] } else { (2 * backoff).min(BACKOFF[1]) };
+        tokio::time::sleep(backoff).await;
+    }
+}
+
+async fn connection(
+    planner: usize,
+    address: SocketAddr,
+    beat: Duration,
+    told: &mpsc::Sender<(usize, Word)>,
+) -> io::Result<()> {
+    let gone = |_| io::Error::from(io::ErrorKind::BrokenPipe);
+    let stream = tokio::time::timeout(CONNECT_WITHIN, TcpStream::connect(address)).await??;
+    stream.set_nodelay(true)?;
+    let (mut reader, mut writer) = stream.into_split();
+    let (questions, mut asked) = mpsc::channel(WAITING);
+    told.send((planner, Word::Up(questions))).await.map_err(gone)?;
+    let reading = async {
+        loop {
+            let bytes = frame::read(&mut reader, MOST_TOLD, BEATS_SILENT * beat).await?;
+            match read_told(&bytes) {
+                Ok(word) => told.send((planner, Word::Told(word))).await.map_err(gone)?,
+                // A newer planner may say what this release does not know.
+                Err(WireError::Unknown) => {}
+                Err(error) => return Err(io::Error::new(io::ErrorKind::InvalidData, error.to_string())),
+            }
+        }
+    };
+    let writing = async {
+        while let Some(question) = asked.recv().await {
+            frame::write(&mut writer, &write_asked(&question)).await?;
+        }
+        Ok(())
+    };
+    let beating = async {
+        loop {
+            tokio::time::sleep(beat).await;
+            told.send((planner, Word::Beat)).await.map_err(gone)?;
+        }
+    };
+    tokio::select! {
+        ended = reading => ended,
+        ended = writing => ended,
+        ended = beating => ended,
+    }
+}
--- /dev/null
+++ b/crates/plan/src/io/mod.rs
@@ -0,0 +1,10 @@
+//! Plans over TCP: a planner that tells, and a forwarder that follows several planners at once.
+//!
+//! Connections are plain so far, so that both ends insist on loopback addresses.
+
+mod follow;
+mod frame;
+mod planner;
+
+pub use follow::{Following, follow};
+pub use planner::Planner;
--- /dev/null
+++ b/crates/plan/src/lib.rs
@@ -0,0 +1,144 @@
+//! Plans: which nodes a forwarder may use, as planners tell it.
+//!
+//! A planner watches the membership of the fleet and hands every forwarder the same plan; which node
+//! a request goes to stays with the forwarder's own decision module, which takes the plan as its
+//! list. [`Follower`] is the forwarder's side and [`Publisher`] the planner's; both are state
+//! machines without I/O or clock. [`wire`] turns what they say to each other into bytes and back,
+//! and [`io`] carries these over TCP.
+//!
+//! What holds, whatever the network does:
+//!
+//! - a follower never goes back to an older plan: versions only rise;
+//! - a drain that any planner has told of holds until a plan says that it has heard that very news:
+//!   two planners that disagree can drain a node, never un-drain it;
+//! - a lease counts from when the follower *asked* for it, so that late packets don't lengthen it.
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+mod follower;
+pub mod io;
+mod publisher;
+pub mod wire;
+
+pub use follower::{Follower, Heard, Refused, State};
+pub use publisher::Publisher;
+
+use std::net::SocketAddr;
+
+/// Which plan is newer: by term, and within a term by generation.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Version {
+    /// Goes up with each planner that takes the lead.
+    pub term: u64,
+    /// Goes up with each plan of a term.
+    pub generation: u64,
+}
+
+/// News of one planner: the later of two has the higher mark. A planner that starts anew begins a
+/// higher epoch, so that its marks never come twice.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Mark {
+    /// Of this start of the planner.
+    pub epoch: u64,
+    /// Of this piece of news.
+    pub sequence: u64,
+}
+
+/// A node of a plan.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Node {
+    /// Its name.
+    pub id: String,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Its zone.
+    pub zone: String,
+    /// Its cell.
+    pub cell: u32,
+    /// Its size beside the others'; above 0.
+    pub weight: f64,
+    /// It completes what it has, and gets nothing new.
+    pub draining: bool,
+    /// How long ago it started, in milliseconds, where it may still be cold.
+    pub age_ms: Option<u64>,
+}
+
+/// A whole plan.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Plan {
+    /// Its version.
+    pub version: Version,
+    /// Its nodes, by id.
+    pub nodes: Vec<Node>,
+    /// Up to which mark the news of each planner is in it.
+    pub heard: Vec<(u32, Mark)>,
+}
+
+/// What a plan changes of the one before.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Delta {
+    /// The version that it changes.
+    pub from: Version,
+    /// The version that comes of it.
+    pub to: Version,
+    /// Nodes that are new or differ.
+    pub set: Vec<Node>,
+    /// Nodes that are gone.
+    pub gone: Vec<String>,
+    /// As in a plan.
+    pub heard: Vec<(u32, Mark)>,
+}
+
+/// What planners say to followers.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Told {
+    /// A whole plan.
+    Full(Plan),
+    /// A change.
+    Delta(Delta),
+    /// A node drains or is gone, ahead of any plan.
+    Drain {
+        /// The planner's number,
+        planner: u32,
+        /// the mark of its news,
+        mark: Mark,
+        /// and the node.
+        id: String,
+    },
+    /// An answer to a [`Asked::Beat`]: nothing that this planner was told before it got the question
+    /// is untold.
+    Beat {
+        /// The question's number.
+        number: u64,
+        /// The plan that holds.
+        version: Version,
+        /// For how long from the question on the follower may go by it.
+        lease_ms: u64,
+    },
+}
+
+/// What followers say to planners.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Asked {
+    /// The first word: who it is, and which plan it has.
+    Hello {
+        /// Its name.
+        name: String,
+        /// Its plan, if it has one.
+        has: Option<Version>,
+    },
+    /// May I go on?
+    Beat {
+        /// Counts up.
+        number: u64,
+    },
+    /// A change did not fit: the whole plan, please.
+    Resend,
+}
+
+/// Nodes that a plan may have.
+pub const MOST_NODES: usize = 20_000;
+/// The longest name of a node, a zone or a forwarder, in bytes.
+pub const MOST_NAME: usize = 253;
+/// Planners that there may be.
+pub const MOST_PLANNERS: usize = 16;
--- /dev/null
+++ b/crates/plan/src/wire.rs
@@ -0,0 +1,321 @@
+//! The messages as bytes: a length of four bytes, low byte first, and so many bytes of a protobuf
+//! message (encoding as published at protobuf.dev, by the `prost` crate). Fields that a reader does
+//! not know are skipped, so that two releases understand each other; what is over a bound, lacks
+//! what it needs or makes no sense is refused, and nothing of it is taken.
+
+use crate::{Asked, Delta, MOST_NAME, MOST_NODES, MOST_PLANNERS, Mark, Node, Plan, Told, Version};
+use prost::Message;
+use std::net::SocketAddr;
+use thiserror::Error;
+
+/// The version of the protocol. A reader takes every version; a change that older readers must not
+/// pass over gets a message of its own.
+pub const PROTOCOL: u32 = 1;
+/// The longest message of a planner, in bytes.
+pub const MOST_TOLD: usize = 8 << 20;
+/// The longest message of a follower.
+pub const MOST_ASKED: usize = 4 << 10;
+
+/// Why a message is not taken.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+pub enum WireError {
+    /// It is longer than its bound.
+    #[error("expected at most {most} bytes, found {found}")]
+    TooLong {
+        /// The bound.
+        most: usize,
+        /// Its length.
+        found: usize,
+    },
+    /// It is no protobuf message.
+    #[error("expected a message, found {0}")]
+    Malformed(String),
+    /// A value makes no sense.
+    #[error("{what}: expected {expected}, found {found}")]
+    Value {
+        /// Of what.
+        what: &'static str,
+        /// What it should have been.
+        expected: &'static str,
+        /// What it was.
+        found: String,
+    },
+    /// It is of a kind that this release does not know: it is passed over.
+    #[error("expected a kind of message that is known, found none")]
+    Unknown,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq, Message)]
+struct RawVersion {
+    #[prost(uint64, tag = "1")]
+    term: u64,
+    #[prost(uint64, tag = "2")]
+    generation: u64,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq, Message)]
+struct RawMark {
+    #[prost(uint32, tag = "1")]
+    planner: u32,
+    #[prost(uint64, tag = "2")]
+    epoch: u64,
+    #[prost(uint64, tag = "3")]
+    sequence: u64,
+}
+
+#[derive(Clone, PartialEq, Message)]
+struct RawNode {
+    #[prost(string, tag = "1")]
+    id: String,
+    #[prost(string, tag = "2")]
+    address: String,
+    #[prost(string, tag = "3")]
+    zone: String,
+    #[prost(uint32, tag = "4")]
+    cell: u32,
+    #[prost(double, optional, tag = "5")]
+    weight: Option<f64>,
+    #[prost(bool, tag = "6")]
+    draining: bool,
+    #[prost(uint64, optional, tag = "7")]
+    age_ms: Option<u64>,
+}
+
+#[derive(Clone, PartialEq, Message)]
+struct RawPlan {
+    #[prost(message, optional, tag = "1")]
+    version: Option<RawVersion>,
+    /// The version that this changes; none in a whole plan.
+    #[prost(message, optional, tag = "2")]
+    from: Option<RawVersion>,
+    #[prost(message, repeated, tag = "3")]
+    nodes: Vec<RawNode>,
+    #[prost(string, repeated, tag = "4")]
+    gone: Vec<String>,
+    #[prost(message, repeated, tag = "5")]
+    heard: Vec<RawMark>,
+}
+
+#[derive(Clone, PartialEq, Message)]
+struct RawDrain {
+    #[prost(message, optional, tag = "1")]
+    mark: Option<RawMark>,
+    #[prost(string, tag = "2")]
+    id: String,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq, Message)]
+struct RawBeat {
+    #[prost(uint64, tag = "1")]
+    number: u64,
+    #[prost(message, optional, tag = "2")]
+    version: Option<RawVersion>,
+    #[prost(uint64, tag = "3")]
+    lease_ms: u64,
+}
+
+#[derive(Clone, PartialEq, Message)]
+struct RawTold {
+    #[prost(uint32, tag = "1")]
+    protocol: u32,
+    #[prost(message, optional, tag = "2")]
+    plan: Option<RawPlan>,
+    #[prost(message, optional, tag = "3")]
+    drain: Option<RawDrain>,
+    #[prost(message, optional, tag = "4")]
+    beat: Option<RawBeat>,
+}
+
+#[derive(Clone, PartialEq, Message)]
+struct RawHello {
+    #[prost(string, tag = "1")]
+    name: String,
+    #[prost(message, optional, tag = "2")]
+    has: Option<RawVersion>,
+}
+
+#[derive(Clone, PartialEq, Message)]
+struct RawAsked {
+    #[prost(uint32, tag = "1")]
+    protocol: u32,
+    #[prost(message, optional, tag = "2")]
+    hello: Option<RawHello>,
+    #[prost(uint64, optional, tag = "3")]
+    beat: Option<u64>,
+    #[prost(bool, tag = "4")]
+    resend: bool,
+}
+
+fn bad(what: &'static str, expected: &'static str, found: impl ToString) -> WireError {
+    let found: String = found.to_string().chars().take(60).collect();
+    WireError::Value { what, expected, found }
+}
+
+fn name(what: &'static str, text: String, least: usize) -> Result<String, WireError> {
+    match (least..=MOST_NAME).contains(&text.len()) && !text.chars().any(char::is_control) {
+        true => Ok(text),
+        false => Err(bad(what, "at most 253 bytes without control characters", text.len())),
+    }
+}
+
+fn version(raw: Option<RawVersion>) -> Result<Version, WireError> {
+    let raw = raw.ok_or_else(|| bad("version", "a version", "none"))?;
+    Ok(Version { term: raw.term, generation: raw.generation })
+}
+
+fn marks(raw: Vec<RawMark>) -> Result<Vec<(u32, Mark)>, WireError> {
+    if raw.len() > MOST_PLANNERS {
+        return Err(bad("heard", "at most 16 planners", raw.len()));
+    }
+    Ok(raw.into_iter().map(|m| (m.planner, Mark { epoch: m.epoch, sequence: m.sequence })).collect())
+}
+
+fn node(raw: RawNode) -> Result<Node, WireError> {
+    let address = raw.address.parse::<SocketAddr>().ok().filter(|a| a.port() > 0);
+    let weight = raw.weight.unwrap_or(1.0);
+    if !weight.is_finite() || weight <= 0.0 {
+        return Err(bad("weight", "a finite number above 0", weight));
+    }
+    Ok(Node {
+        id: name("id", raw.id, 1)?,
+        address: address.ok_or_else(|| bad("address", "address:port", raw.address))?,
+        zone: name("zone", raw.zone, 0)?,
+        cell: raw.cell,
+        weight,
+        draining: raw.draining,
+        age_ms: raw.age_ms,
+    })
+}
+
+fn plan(raw: RawPlan) -> Result<Told, WireError> {
+    if raw.nodes.len() > MOST_NODES || raw.gone.len() > MOST_NODES {
+        return Err(bad("nodes", "at most 20000", raw.nodes.len().max(raw.gone.len())));
+    }
+    let (to, heard) = (version(raw.version)?, marks(raw.heard)?);
+    let mut nodes = raw.nodes.into_iter().map(node).collect::<Result<Vec<_>, _>>()?;
+    nodes.sort_by(|a, b| a.id.cmp(&b.id));
+    if let Some(twice) = nodes.windows(2).find(|pair| pair[0].id == pair[1].id) {
+        return Err(bad("id", "each node once", &twice[0].id));
+    }
+    let Some(from) = raw.from else {
+        return Ok(Told::Full(Plan { version: to, nodes, heard }));
+    };
+    let from = version(Some(from))?;
+    if from >= to {
+        return Err(bad("version", "a later one than it changes", to.generation));
+    }
+    let gone = raw.gone.into_iter().map(|id| name("gone", id, 1)).collect::<Result<_, _>>()?;
+    Ok(Told::Delta(Delta { from, to, set: nodes, gone, heard }))
+}
+
+/// Reads what a planner says, without its length.
+pub fn read_told(bytes: &[u8]) -> Result<Told, WireError> {
+    if bytes.len() > MOST_TOLD {
+        return Err(WireError::TooLong { most: MOST_TOLD, found: bytes.len() });
+    }
+    let raw = RawTold::decode(bytes).map_err(|error| WireError::Malformed(error.to_string()))?;
+    match (raw.plan, raw.drain, raw.beat) {
+        (Some(raw), None, None) => plan(raw),
+        (None, Some(raw), None) => {
+            let mark = raw.mark.ok_or_else(|| bad("mark", "a mark", "none"))?;
+            let (planner, mark) = (mark.planner, Mark { epoch: mark.epoch, sequence: mark.sequence });
+            Ok(Told::Drain { planner, mark, id: name("id", raw.id, 1)? })
+        }
+        (None, None, Some(raw)) => {
+            Ok(Told::Beat { number: raw.number, version: version(raw.version)?, lease_ms: raw.lease_ms })
+        }
+        (None, None, None) => Err(WireError::Unknown),
+        _ => Err(bad("message", "one thing", "several")),
+    }
+}
+
+/// Reads what a follower says, without its length.
+pub fn read_asked(bytes: &[u8]) -> Result<Asked, WireError> {
+    if bytes.len() > MOST_ASKED {
+        return Err(WireError::TooLong { most: MOST_ASKED, found: bytes.len() });
+    }
+    let raw = RawAsked::decode(bytes).map_err(|error| WireError::Malformed(error.to_string()))?;
+    match (raw.hello, raw.beat, raw.resend) {
+        (Some(hello), None, false) => {
+            let has = hello.has.map(|has| version(Some(has))).transpose()?;
+            Ok(Asked::Hello { name: name("name", hello.name, 1)?, has })
+        }
+        (None, Some(number), false) => Ok(Asked::Beat { number }),
+        (None, None, true) => Ok(Asked::Resend),
+        (None, None, false) => Err(WireError::Unknown),
+        _ => Err(bad("message", "one thing", "several")),
+    }
+}
+
+fn framed(message: &impl Message) -> Vec<u8> {
+    let body = message.encode_to_vec();
+    let length = u32::try_from(body.len()).unwrap_or(u32::MAX); // bounds keep it far below
+    [&length.to_le_bytes(), body.as_slice()].concat()
+}
+
+fn raw_version(version: Version) -> RawVersion {
+    RawVersion { term: version.term, generation: version.generation }
+}
+
+fn raw_mark(planner: u32, mark: Mark) -> RawMark {
+    RawMark { planner, epoch: mark.epoch, sequence: mark.sequence }
+}
+
+fn raw_node(node: &Node) -> RawNode {
+    RawNode {
+        id: node.id.clone(),
+        address: node.address.to_string(),
+        zone: node.zone.clone(),
+        cell: node.cell,
+        weight: (node.weight != 1.0).then_some(node.weight),
+        draining: node.draining,
+        age_ms: node.age_ms,
+    }
+}
+
+/// What a planner says, with its length.
+pub fn write_told(told: &Told) -> Vec<u8> {
+    let mut raw = RawTold { protocol: PROTOCOL, plan: None, drain: None, beat: None };
+    let heard = |heard: &[(u32, Mark)]| heard.iter().map(|(p, m)| raw_mark(*p, *m)).collect();
+    match told {
+        Told::Full(plan) => {
+            raw.plan = Some(RawPlan {
+                version: Some(raw_version(plan.version)),
+                from: None,
+                nodes: plan.nodes.iter().map(raw_node).collect(),
+                gone: Vec::new(),
+                heard: heard(&plan.heard),
+            });
+        }
+        Told::Delta(delta) => {
+            raw.plan = Some(RawPlan {
+                version: Some(raw_version(delta.to)),
+                from: Some(raw_version(delta.from)),
+                nodes: delta.set.iter().map(raw_node).collect(),
+                gone: delta.gone.clone(),
+                heard: heard(&delta.heard),
+            });
+        }
+        Told::Drain { planner, mark, id } => {
+            raw.drain = Some(RawDrain { mark: Some(raw_mark(*planner, *mark)), id: id.clone() });
+        }
+        Told::Beat { number, version, lease_ms } => {
+            let version = Some(raw_version(*version));
+            raw.beat = Some(RawBeat { number: *number, version, lease_ms: *lease_ms });
+        }
+    }
+    framed(&raw)
+}
+
+/// What a follower says, with its length.
+pub fn write_asked(asked: &Asked) -> Vec<u8> {
+    let mut raw = RawAsked { protocol: PROTOCOL, hello: None, beat: None, resend: false };
+    match asked {
+        Asked::Hello { name, has } => {
+            raw.hello = Some(RawHello { name: name.clone(), has: has.map(raw_version) });
+        }
+        Asked::Beat { number } => raw.beat = Some(*number),
+        Asked::Resend => raw.resend = true,
+    }
+    framed(&raw)
+}
--- /dev/null
+++ b/crates/plan/tests/follows.rs
@@ -0,0 +1,209 @@
+//! A follower of planners that disagree, over a network that loses, doubles and reorders: plans only
+//! go forward, and a drain holds until a plan has heard of it. Seeded.
+
+use dewpier_plan::{
+    Asked, Follower, Heard, Mark, Node, Plan, Publisher, Refused, State, Told, Version, wire,
+};
+use dewpier_standins::rng::Rng;
+use std::collections::HashMap;
+use std::time::Duration;
+
+fn node(id: &str, draining: bool) -> Node {
+    Node {
+        id: id.into(),
+        address: "10.0.0.1:80".parse().unwrap(),
+        zone: "a".into(),
+        cell: 1,
+        weight: 1.0,
+        draining,
+        age_ms: None,
+    }
+}
+
+fn draining(follower: &Follower) -> Vec<String> {
+    follower.nodes().into_iter().filter(|n| n.draining).map(|n| n.id).collect()
+}
+
+#[test]
+fn a_planner_that_has_not_heard_of_a_drain_does_not_bring_the_node_back() {
+    let mut follower = Follower::default();
+    let (mut one, mut two) = (Publisher::new(1, 1, 1), Publisher::new(2, 2, 1));
+    let all = || vec![node("a", false), node("b", false)];
+    one.update(all()).into_iter().for_each(|told| drop(follower.hear(0, told)));
+    follower.hear(0, Told::Full(one.plan().clone()));
+    assert_eq!(draining(&follower), [""; 0]);
+    // The first planner is told of a drain, gets no further than the word of it, and dies.
+    let told = one.update(vec![node("a", true), node("b", false)]);
+    assert_eq!(follower.hear(0, told[0].clone()), Heard::Changed);
+    assert_eq!(draining(&follower), ["a"]);
+    // The second takes the lead and knows nothing of it: its plan holds, and so does the drain.
+    two.update(all());
+    assert_eq!(follower.hear(1, Told::Full(two.plan().clone())), Heard::Changed);
+    assert_eq!(follower.version(), Some(Version { term: 2, generation: 1 }));
+    assert_eq!(draining(&follower), ["a"]);
+    // A plan that has heard that very news may bring it back.
+    let mut heard = two.plan().clone();
+    heard.version.generation = 2;
+    heard.heard.push((1, Mark { epoch: 1, sequence: 1 }));
+    assert_eq!(follower.hear(1, Told::Full(heard)), Heard::Changed);
+    assert_eq!(draining(&follower), [""; 0]);
+    // The same word again is old.
+    assert_eq!(follower.hear(0, told[0].clone()), Heard::Refused(Refused::Old));
+    assert_eq!(follower.hear(0, Told::Full(one.plan().clone())), Heard::Refused(Refused::Old));
+}
+
+#[test]
+fn a_lease_counts_from_the_question_and_for_the_plan_that_is_here() {
+    let ms = Duration::from_millis;
+    let mut follower = Follower::default();
+    let mut planner = Publisher::new(1, 1, 1);
+    planner.update(vec![node("a", false)]);
+    assert_eq!(follower.state(ms(0)), State::Empty);
+    follower.hear(0, Told::Full(planner.plan().clone()));
+    assert_eq!(follower.state(ms(0)), State::Silent, "nobody has vouched for it");
+    let Asked::Beat { number } = follower.ask(0, ms(100)) else { panic!() };
+    // The answer was on its way for a second, or the process stood still: the lease is over.
+    assert_eq!(follower.hear(0, planner.beat(number, 400)), Heard::Noted);
+    assert_eq!(follower.state(ms(499)), State::Leased);
+    assert_eq!(follower.state(ms(1100)), State::Silent);
+    assert_eq!(follower.hear(0, planner.beat(number, 400)), Heard::Refused(Refused::Unasked), "a replay");
+    assert_eq!(follower.hear(1, planner.beat(number, 400)), Heard::Refused(Refused::Unasked), "another's");
+    let Asked::Beat { number } = follower.ask(0, ms(2000)) else { panic!() };
+    planner.update(vec![node("a", true)]);
+    assert_eq!(follower.hear(0, planner.beat(number, 400)), Heard::Ask(Asked::Resend));
+    assert_eq!(follower.state(ms(2001)), State::Silent, "it vouched for a plan that is not here");
+    follower.lost(0);
+    let Asked::Beat { number } = follower.ask(0, ms(3000)) else { panic!() };
+    follower.lost(0);
+    assert_eq!(follower.hear(0, planner.beat(number, 400)), Heard::Refused(Refused::Unasked));
+}
+
+#[test]
+fn whatever_the_network_does_plans_go_forward_and_drains_hold() {
+    let mut rng = Rng::from_env("PLAN_SEED", 7);
+    let seeds = std::env::var("PLAN_SEEDS").ok().and_then(|n| n.parse().ok()).unwrap_or(1500);
+    let (mut changes, mut refused) = (0, 0);
+    for _ in 0..seeds {
+        let seed = rng.number();
+        let mut rng = Rng::new(seed);
+        let ids: Vec<String> = (0..6).map(|i| format!("n{i}")).collect();
+        let mut planners = [Publisher::new(0, 1, 1), Publisher::new(1, 2, 1), Publisher::new(2, 3, 1)];
+        let mut follower = Follower::default();
+        let mut wire_of: Vec<(usize, Vec<u8>)> = Vec::new();
+        let mut told_drains: HashMap<String, Vec<(u32, Mark)>> = HashMap::new();
+        let mut last = None;
+        for _ in 0..80 {
+            let planner = rng.below(3);
+            if rng.below(3) == 0 {
+                let mut nodes = Vec::new();
+                for id in &ids {
+                    if rng.below(9) > 0 {
+                        nodes.push(node(id, rng.below(4) == 0));
+                    }
+                }
+                for told in planners[planner].update(nodes) {
+                    wire_of.push((planner, wire::write_told(&told)));
+                }
+            }
+            if rng.below(6) == 0 {
+                let has = follower.version().filter(|_| rng.below(2) == 0);
+                let behind = planners[planner].catch_up(has);
+                wire_of.extend(behind.iter().map(|told| (planner, wire::write_told(told))));
+            }
+            if wire_of.is_empty() {
+                continue;
+            }
+            // Any of those on the way arrives, and may arrive again; some never do.
+            let place = rng.below(wire_of.len());
+            let (from, frame) =
+                if rng.below(4) == 0 { wire_of[place].clone() } else { wire_of.swap_remove(place) };
+            if rng.below(5) == 0 {
+                continue;
+            }
+            let told = wire::read_told(&frame[4..]).unwrap_or_else(|e| panic!("seed {seed}: {e}"));
+            let heard = follower.hear(from, told.clone());
+            changes += usize::from(heard == Heard::Changed);
+            refused += usize::from(matches!(heard, Heard::Refused(_)));
+            if let (Told::Drain { planner, mark, id }, Heard::Changed) = (&told, &heard) {
+                told_drains.entry(id.clone()).or_default().push((*planner, *mark));
+            }
+            assert!(
+                follower.version() >= last,
+                "seed {seed}: back to {:?} from {last:?}",
+                follower.version()
+            );
+            last = follower.version();
+            // A drain that was taken holds until a plan that was taken has heard of it.
+            if let (
+                Heard::Changed,
+                Told::Full(Plan { heard, .. }) | Told::Delta(dewpier_plan::Delta { heard, .. }),
+            ) = (&heard, &told)
+            {
+                for news in told_drains.values_mut() {
+                    news.retain(|(p, m)| !heard.iter().any(|(hp, hm)| hp == p && hm >= m));
+                }
+            }
+            for node in follower.nodes() {
+                let owed = told_drains.get(&node.id).is_some_and(|news| !news.is_empty());
+                assert!(node.draining || !owed, "seed {seed}: {} is back", node.id);
+            }
+        }
+    }
+    println!("{seeds} seeds: {changes} changes, {refused} refused");
+    assert!(changes > seeds && refused > seeds);
+}
+
+#[test]
+fn messages_that_make_no_sense_are_refused_and_unknown_fields_passed_over() {
+    let mut planner = Publisher::new(1, 1, 1);
+    planner.update(vec![node("a", false), node("b", true)]);
+    let good = wire::write_told(&Told::Full(planner.plan().clone()))[4..].to_vec();
+    assert_eq!(wire::read_told(&good).unwrap(), Told::Full(planner.plan().clone()));
+    // A field of a later release, of each kind that there is in protobuf.
+    for later in [
+        &[0xf8, 0x07, 1][..],
+        &[0xfa, 0x07, 2, 9, 9],
+        &[0xf9, 0x07, 1, 2, 3, 4, 5, 6, 7, 8],
+        &[0xfd, 0x07, 1, 2, 3, 4],
+    ] {
+        let newer = [&good, later].concat();
+        assert_eq!(wire::read_told(&newer).unwrap(), Told::Full(planner.plan().clone()));
+    }
+    assert_eq!(wire::read_told(&[0xf8, 0x07, 1]), Err(wire::WireError::Unknown));
+    let twice = Plan { nodes: vec![node("a", false), node("a", false)], ..planner.plan().clone() };
+    let odd = |f: &dyn Fn(&mut Node)| {
+        let mut n = node("a", false);
+        f(&mut n);
+        Plan { nodes: vec![n], ..planner.plan().clone() }
+    };
+    for plan in [
+        twice,
+        odd(&|n| n.weight = f64::NAN),
+        odd(&|n| n.weight = -1.0),
+        odd(&|n| n.id = String::new()),
+        odd(&|n| n.id = "x".repeat(254)),
+        odd(&|n| n.zone = "a\nb".into()),
+        odd(&|n| n.address.set_port(0)),
+    ] {
+        let bytes = wire::write_told(&Told::Full(plan.clone()));
+        assert!(wire::read_told(&bytes[4..]).is_err(), "{plan:?}");
+    }
+    let many = Plan {
+        nodes: (0..20_001).map(|i| node(&format!("n{i}"), false)).collect(),
+        ..planner.plan().clone()
+    };
+    assert!(wire::read_told(&wire::write_told(&Told::Full(many))[4..]).is_err());
+    // Any bytes at all: an error or a message, and no panic.
+    let mut rng = Rng::from_env("PLAN_SEED", 7);
+    for _ in 0..20_000 {
+        let mut bytes = good.clone();
+        let at = rng.below(bytes.len());
+        match rng.below(3) {
+            0 => bytes.truncate(at),
+            1 => bytes[at] = rng.number() as u8,
+            _ => drop(bytes.remove(at)),
+        }
+        let _ = wire::read_told(&bytes);
+        let _ = wire::read_asked(&bytes);
+    }
+}
--- a/src/command.rs
+++ b/src/command.rs
@@ -3,8 +3,8 @@
 use clap::{Args, Parser, Subcommand};
 use dewpier_inventory::io::{confirm, read_file};
 use dewpier_inventory::{Encoding, Format, Inventory, Options};
-use gannetproxy::serve::config::Config;
-use gannetproxy::serve::run;
+use gannetproxy::serve::config::{Config, ListFrom, PlannerConfig};
+use gannetproxy::serve::{planner, run};
 use serde::Serialize;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
@@ -27,6 +27,10 @@
 enum Command {
     /// Serve plain HTTP clients, with the backends of an inventory
     Serve(WithConfig),
+    /// Watch an inventory, and tell forwarders of it
+    Planner(WithConfig),
+    /// Serve plain HTTP clients, with the backends that planners tell of
+    Forwarder(WithConfig),
     /// Check a configuration and the inventory that it names
     Check(WithConfig),
     /// Look at inventories
@@ -78,7 +82,9 @@
         Err(error) => error.exit(),
     };
     match arguments.command {
-        Command::Serve(WithConfig { config }) => serve(&config),
+        Command::Serve(WithConfig { config }) => serve(&config, false),
+        Command::Forwarder(WithConfig { config }) => serve(&config, true),
+        Command::Planner(WithConfig { config }) => plan(&config),
         Command::Check(WithConfig { config }) => check(&config),
         Command::Inventory(OfInventory::Check { file, format, encoding, group, default_port, json }) => {
             let options = Options { format, encoding, group, default_port, ..Options::default() };
@@ -101,14 +107,34 @@
     ExitCode::from(BAD_INPUT)
 }
 
-fn serve(path: &Path) -> ExitCode {
+/// A proxy's list is a file's, a forwarder's is its planners'.
+fn serve(path: &Path, forwarder: bool) -> ExitCode {
     let config = match Config::read(path) {
         Ok(config) => config,
         Err(error) => return bad(error),
     };
+    if matches!(config.source, ListFrom::Planners(_)) != forwarder {
+        let (expected, found) = match forwarder {
+            true => ("[planners]", "[inventory]: that is for 'dewpier serve'"),
+            false => ("[inventory]", "[planners]: that is for 'dewpier forwarder'"),
+        };
+        return bad(format!("{}: expected {expected}, found {found}", path.display()));
+    }
+    ended(run::until_signals(config))
+}
+
+fn plan(path: &Path) -> ExitCode {
+    match PlannerConfig::read(path) {
+        Ok(config) => ended(planner::until_signals(config)),
+        Err(error) => bad(error),
+    }
+}
+
+/// Runs a program to its end.
+fn ended(program: impl Future<Output = Result<(), run::ServeError>>) -> ExitCode {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let ran = runtime.map_err(run::ServeError::from).and_then(|runtime| {
-        let ran = tokio::task::LocalSet::new().block_on(&runtime, run::until_signals(config));
+        let ran = tokio::task::LocalSet::new().block_on(&runtime, program);
         // A look-up that the system does not answer must not hold up the exit.
         runtime.shutdown_background();
         ran
@@ -128,7 +154,13 @@
         Ok(config) => config,
         Err(error) => return bad(error),
     };
-    let inventory = &config.inventory;
+    let inventory = match &config.source {
+        ListFrom::Inventory(inventory) => inventory,
+        ListFrom::Planners(planners) => {
+            println!("{}: good: {} planners", path.display(), planners.addresses.len());
+            return ExitCode::SUCCESS;
+        }
+    };
     match read_file(&inventory.file, &inventory.options) {
         Ok(list) => {
             notes(&inventory.file, &list);
--- a/src/serve/config.rs
+++ b/src/serve/config.rs
@@ -5,6 +5,7 @@
 use crate::{Class, Effect, Group, Settings};
 use dewpier_inventory::reload::Rules;
 use dewpier_inventory::{Encoding, Format, Options};
+use dewpier_plan::{MOST_NAME, MOST_PLANNERS};
 use hyper::Method;
 use serde::Deserialize;
 use std::net::SocketAddr;
@@ -48,8 +49,8 @@
     pub descriptors: usize,
     /// Bytes of memory that it plans with.
     pub memory: usize,
-    /// Where the list of backends is.
-    pub inventory: Inventory,
+    /// Where the list of backends comes from.
+    pub source: ListFrom,
     /// What the module is told.
     pub settings: Settings,
     /// What only the proxy needs of it.
@@ -58,6 +59,41 @@
     pub routes: Routes,
 }
 
+/// Where a list of backends comes from.
+#[derive(Clone, Debug)]
+pub enum ListFrom {
+    /// A file.
+    Inventory(Inventory),
+    /// Planners, who tell what they have of one.
+    Planners(Planners),
+}
+
+/// The planners of a forwarder.
+#[derive(Clone, Debug)]
+pub struct Planners {
+    /// Where they are.
+    pub addresses: Vec<SocketAddr>,
+    /// The forwarder's name.
+    pub name: String,
+    /// How often each is asked.
+    pub beat: Duration,
+}
+
+/// Everything that a planner is told.
+#[derive(Clone, Debug)]
+pub struct PlannerConfig {
+    /// Where forwarders connect.
+    pub listen: SocketAddr,
+    /// Its number among the planners.
+    pub number: u32,
+    /// For how long a forwarder may go by its word.
+    pub lease: Duration,
+    /// Forwarders that are let in.
+    pub most: usize,
+    /// Where the list of backends is.
+    pub inventory: Inventory,
+}
+
 /// The file that lists the backends, and how it is read.
 #[derive(Clone, Debug)]
 pub struct Inventory {
@@ -79,7 +115,8 @@
     listen: Spanned<String>,
     #[serde(default)]
     zone: String,
-    inventory: RawInventory,
+    inventory: Option<RawInventory>,
+    planners: Option<RawPlanners>,
     #[serde(default)]
     limits: RawLimits,
     #[serde(default)]
@@ -90,6 +127,24 @@
     class: Vec<RawClass>,
 }
 
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct PlannerFile {
+    listen: Spanned<String>,
+    number: Option<Spanned<i64>>,
+    lease_ms: Option<Spanned<i64>>,
+    max_forwarders: Option<Spanned<i64>>,
+    inventory: RawInventory,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct RawPlanners {
+    addresses: Spanned<Vec<Spanned<String>>>,
+    name: Spanned<String>,
+    beat_ms: Option<Spanned<i64>>,
+}
+
 #[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 struct RawInventory {
@@ -242,31 +297,16 @@
 impl Config {
     /// Reads and checks a file.
     pub fn read(path: &Path) -> Result<Self, ConfigError> {
-        let shown = path.display().to_string();
-        let text = std::fs::read_to_string(path)
-            .map_err(|error| ConfigError::Read { path: shown.clone(), error })?;
-        Self::parse(&text, path)
+        Self::parse(&text(path)?, path)
     }
 
     /// Checks a text. Files that it names are beside `path`.
     pub fn parse(text: &str, path: &Path) -> Result<Self, ConfigError> {
-        let parsed = toml::from_str::<File>(text).map_err(|error| {
-            let span = error.span().unwrap_or(0..0);
-            Wrong { span, message: error.message().trim().replace('\n', "; ") }
-        });
-        parsed.and_then(|file| Self::check(file, path)).map_err(|Wrong { span, message }| {
-            let before = text.get(..span.start).unwrap_or(text);
-            let line = before.matches('\n').count() + 1;
-            let column = before.rsplit('\n').next().unwrap_or_default().chars().count() + 1;
-            ConfigError::Wrong { path: path.display().to_string(), line, column, message }
-        })
+        parse(text, path, Self::check)
     }
 
     fn check(file: File, path: &Path) -> Result<Self, Wrong> {
-        let Ok(listen) = file.listen.get_ref().parse() else {
-            let found = format!("'{}'", file.listen.get_ref());
-            return wrong(file.listen.span(), "listen", "address:port", found);
-        };
+        let listen = address(&file.listen, "listen")?;
         let (limits, backends) = (&file.limits, &file.backends);
         let (mut classes, mut names, mut routes) = (Vec::new(), Vec::new(), Vec::new());
         for raw in &file.class {
@@ -290,6 +330,14 @@
         names.extend(["default-safe".into(), "default-unsafe".into()]);
         classes.extend([plain(Effect::Safe), plain(Effect::Unsafe)]);
 
+        let source = match (&file.inventory, &file.planners) {
+            (Some(raw), None) => ListFrom::Inventory(inventory(raw, path)?),
+            (None, Some(raw)) => ListFrom::Planners(planners(raw)?),
+            (None, None) => return wrong(0..0, "configuration", "[inventory] or [planners]", "neither"),
+            (Some(_), Some(raw)) => {
+                return wrong(raw.addresses.span(), "configuration", "[inventory] or [planners]", "both");
+            }
+        };
         let instances = whole(&file.instances.number, "number", [1, 100_000], 1)?;
         let me = whole(&file.instances.me, "me", [0, instances - 1], 0)?;
         let seconds = |value: Duration| value.as_secs_f64();
@@ -320,7 +368,7 @@
             listen,
             descriptors: whole(&limits.descriptors, "descriptors", [64, 1 << 20], 1024)? as usize,
             memory: memory << 20,
-            inventory: inventory(&file.inventory, path)?,
+            source,
             settings,
             wire,
             routes: Routes::new(routes),
@@ -328,6 +376,80 @@
     }
 }
 
+impl PlannerConfig {
+    /// Reads and checks a file.
+    pub fn read(path: &Path) -> Result<Self, ConfigError> {
+        parse(&text(path)?, path, Self::check)
+    }
+
+    fn check(file: PlannerFile, path: &Path) -> Result<Self, Wrong> {
+        Ok(Self {
+            listen: loopback(&file.listen, "listen")?,
+            number: whole(&file.number, "number", [0, MOST_PLANNERS as i64 - 1], 0)? as u32,
+            lease: millis(&file.lease_ms, "lease_ms", [50, 10_000], 400)?,
+            most: whole(&file.max_forwarders, "max_forwarders", [1, 100_000], 1000)? as usize,
+            inventory: inventory(&file.inventory, path)?,
+        })
+    }
+}
+
+fn text(path: &Path) -> Result<String, ConfigError> {
+    let shown = path.display().to_string();
+    std::fs::read_to_string(path).map_err(|error| ConfigError::Read { path: shown, error })
+}
+
+/// Reads a text as such a file, and checks it.
+fn parse<F: serde::de::DeserializeOwned, C>(
+    text: &str,
+    path: &Path,
+    check: impl FnOnce(F, &Path) -> Result<C, Wrong>,
+) -> Result<C, ConfigError> {
+    let parsed = toml::from_str::<F>(text).map_err(|error| {
+        let span = error.span().unwrap_or(0..0);
+        Wrong { span, message: error.message().trim().replace('\n', "; ") }
+    });
+    parsed.and_then(|file| check(file, path)).map_err(|Wrong { span, message }| {
+        let before = text.get(..span.start).unwrap_or(text);
+        let line = before.matches('\n').count() + 1;
+        let column = before.rsplit('\n').next().unwrap_or_default().chars().count() + 1;
+        ConfigError::Wrong { path: path.display().to_string(), line, column, message }
+    })
+}
+
+fn address(value: &Spanned<String>, what: &str) -> Result<SocketAddr, Wrong> {
+    match value.get_ref().parse() {
+        Ok(address) => Ok(address),
+        Err(_) => wrong(value.span(), what, "address:port", format!("'{}'", value.get_ref())),
+    }
+}
+
+/// Between planners and forwarders connections are plain so far: a stranger who could reach them
+/// could move traffic.
+fn loopback(value: &Spanned<String>, what: &str) -> Result<SocketAddr, Wrong> {
+    let address = address(value, what)?;
+    match address.ip().is_loopback() {
+        true => Ok(address),
+        false => wrong(value.span(), what, "a loopback address, as connections are not encrypted", address),
+    }
+}
+
+fn planners(raw: &RawPlanners) -> Result<Planners, Wrong> {
+    let listed = raw.addresses.get_ref();
+    if listed.is_empty() || listed.len() > MOST_PLANNERS {
+        let expected = format!("1 to {MOST_PLANNERS}");
+        return wrong(raw.addresses.span(), "addresses", &expected, listed.len());
+    }
+    let name = raw.name.get_ref();
+    if !(1..=MOST_NAME).contains(&name.len()) || name.chars().any(char::is_control) {
+        return wrong(raw.name.span(), "name", "1 to 253 bytes without control characters", name.len());
+    }
+    Ok(Planners {
+        addresses: listed.iter().map(|a| loopback(a, "addresses")).collect::<Result<_, _>>()?,
+        name: name.clone(),
+        beat: millis(&raw.beat_ms, "beat_ms", [10, 5000], 100)?,
+    })
+}
+
 fn inventory(raw: &RawInventory, path: &Path) -> Result<Inventory, Wrong> {
     let file = raw.file.get_ref();
     if file.as_os_str().is_empty() {
@@ -434,7 +556,8 @@
     #[test]
     fn little_is_needed() {
         let config = parse(LEAST).unwrap();
-        assert_eq!(config.inventory.file, Path::new("/etc/dewpier/nodes.csv"));
+        let ListFrom::Inventory(inventory) = &config.source else { panic!("{:?}", config.source) };
+        assert_eq!(inventory.file, Path::new("/etc/dewpier/nodes.csv"));
         assert_eq!(config.wire.drain_grace, Duration::from_millis(500));
         let class = |method, path| {
             let class = config.routes.class(&method, path)?;
@@ -449,7 +572,7 @@
     fn the_checked_example_is_good() {
         let example = concat!(env!("CARGO_MANIFEST_DIR"), "/deploy/dewpier.toml");
         let config = Config::read(Path::new(example)).unwrap();
-        let inventory = &config.inventory;
+        let ListFrom::Inventory(inventory) = &config.source else { panic!("{:?}", config.source) };
         let list = dewpier_inventory::io::read_file(&inventory.file, &inventory.options).unwrap();
         assert!(list.backends.len() > 1);
     }
@@ -459,6 +582,18 @@
         for (text, place, words) in [
             ("listen = \"here\"\n[inventory]\nfile = \"a\"\n", "1:10", "address:port, found 'here'"),
             ("[inventory]\nfile = \"a\"\n", "1:1", "listen"),
+            ("listen = \"127.0.0.1:0\"\n", "1:1", "[inventory] or [planners], found neither"),
+            (
+                "listen = \"127.0.0.1:0\"\n[planners]\nname = \"f\"\naddresses = [\"10.0.0.1:1\"]\n",
+                "4:14",
+                "loopback",
+            ),
+            (
+                "listen = \"127.0.0.1:0\"\n[planners]\nname = \"f\"\naddresses = []\n",
+                "4:13",
+                "1 to 16, found 0",
+            ),
+            (&format!("{LEAST}[planners]\nname = \"f\"\naddresses = [\"127.0.0.1:1\"]\n"), "6:13", "both"),
             (&format!("{LEAST}fil = 1\n"), "4:1", "unknown field `fil`"),
             (&format!("{LEAST}max_vanish = 1.5\n"), "4:14", "a number from 0 to 1, found 1.5"),
             (&format!("{LEAST}max_vanish = nan\n"), "4:14", "a number from 0 to 1, found NaN"),
--- /dev/null
+++ b/src/serve/lists.rs
@@ -0,0 +1,152 @@
+//! Lists of backends as they come, from the file of an inventory or from planners.
+
+use super::config::{Inventory, Planners};
+use super::resolve::{Resolved, resolve};
+use super::run::ServeError;
+use dewpier_inventory::io::{Source, Update};
+use dewpier_inventory::{Address, Backend, Host, State};
+use dewpier_plan::io::{Following, follow};
+use dewpier_plan::{Follower, Node};
+use std::cell::RefCell;
+use std::io;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use tokio::sync::{mpsc, watch};
+use tokio::task::AbortHandle;
+
+/// Lists of an inventory that may wait to be taken in. The thread that reads them waits when there
+/// are more.
+const WAITING: usize = 2;
+/// The first list must have come by then.
+const FIRST_WITHIN: Duration = Duration::from_secs(30);
+
+/// Lists, one after another.
+pub struct Lists {
+    feed: Feed,
+    from: String,
+}
+
+enum Feed {
+    Inventory {
+        heard: mpsc::Receiver<Result<Resolved, String>>,
+        source: Source,
+    },
+    /// Only the latest is kept: what is older is of no use.
+    Planners {
+        latest: watch::Receiver<Vec<Node>>,
+        following: AbortHandle,
+    },
+}
+
+impl Drop for Feed {
+    fn drop(&mut self) {
+        if let Self::Planners { following, .. } = self {
+            following.abort();
+        }
+    }
+}
+
+impl Lists {
+    /// The lists of a file.
+    pub fn of_inventory(inventory: Inventory) -> io::Result<Self> {
+        let (updates, heard) = mpsc::channel(WAITING);
+        let Inventory { file, options, rules, poll, names } = inventory;
+        // Names are looked up on the thread that reads the file, which nothing else waits for.
+        let resolver = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+        let source = Source::start(&file, options, rules, poll, move |update| {
+            let news = match update {
+                Update::Accepted(list) => {
+                    let resolved = resolver.block_on(resolve(&list.backends, names));
+                    Ok(resolved.map_err(|error| error.to_string())?)
+                }
+                Update::Rejected(why) => Err(why),
+                Update::Notice(text) => {
+                    eprintln!("dewpier: {text}");
+                    return Ok(());
+                }
+            };
+            let _ = updates.blocking_send(news); // the program is ending
+            Ok(())
+        })?;
+        Ok(Self { feed: Feed::Inventory { heard, source }, from: file.display().to_string() })
+    }
+
+    /// The lists that planners tell. Runs on a [`tokio::task::LocalSet`].
+    pub fn of_planners(planners: Planners) -> Self {
+        let from = format!("{} planners", planners.addresses.len());
+        let (told, latest) = watch::channel(Vec::new());
+        let following = Following {
+            planners: planners.addresses,
+            name: planners.name,
+            beat: planners.beat,
+            start: Instant::now(),
+        };
+        let follower = Rc::new(RefCell::new(Follower::default()));
+        let changed = move |follower: &Follower| drop(told.send_replace(follower.nodes()));
+        let following = tokio::task::spawn_local(follow(following, follower, changed)).abort_handle();
+        Self { feed: Feed::Planners { latest, following }, from }
+    }
+
+    /// Where they come from.
+    pub fn from(&self) -> &str {
+        &self.from
+    }
+
+    /// Has the source asked at once, where that makes a difference.
+    pub fn reload(&self) {
+        if let Feed::Inventory { source, .. } = &self.feed {
+            source.reload();
+        }
+    }
+
+    /// The next list, or why there is none. Nothing is lost if it is dropped before.
+    pub async fn next(&mut self) -> Result<Resolved, String> {
+        match &mut self.feed {
+            Feed::Inventory { heard, .. } => match heard.recv().await {
+                Some(news) => news,
+                None => std::future::pending().await, // its thread is gone: the last list holds
+            },
+            Feed::Planners { latest, .. } => {
+                while latest.changed().await.is_err() {
+                    std::future::pending::<()>().await;
+                }
+                Ok(latest.borrow_and_update().iter().map(backend).collect())
+            }
+        }
+    }
+
+    /// The first list, without which there is nothing to serve.
+    pub async fn first(&mut self) -> Result<Resolved, ServeError> {
+        match tokio::time::timeout(FIRST_WITHIN, self.next()).await {
+            Ok(list) => list.map_err(ServeError::Inventory),
+            Err(_) => Err(ServeError::Inventory(format!("{}: no list in time", self.from))),
+        }
+    }
+}
+
+fn backend(node: &Node) -> (Backend, std::net::SocketAddr) {
+    let backend = Backend {
+        id: node.id.clone(),
+        address: Address { host: Host::Ip(node.address.ip()), port: node.address.port() },
+        zone: node.zone.as_str().into(),
+        cell: node.cell,
+        weight: node.weight,
+        state: if node.draining { State::Draining } else { State::Serving },
+        at: Default::default(),
+    };
+    (backend, node.address)
+}
+
+/// A node as a planner tells of it.
+pub(super) fn node(backend: &Backend, address: std::net::SocketAddr) -> Node {
+    Node {
+        id: backend.id.clone(),
+        address,
+        zone: backend.zone.to_string(),
+        cell: backend.cell,
+        // As elsewhere, a weight of 0 says that nothing new is wanted.
+        weight: if backend.weight > 0.0 { backend.weight } else { 1.0 },
+        draining: backend.state == State::Draining || backend.weight <= 0.0,
+        age_ms: None,
+    }
+}
--- a/src/serve/mod.rs
+++ b/src/serve/mod.rs
@@ -2,6 +2,8 @@
 //! where no platform tells a proxy what to do.
 
 pub mod config;
+pub mod lists;
 pub mod members;
+pub mod planner;
 mod resolve;
 pub mod run;
--- a/src/serve/run.rs
+++ b/src/serve/run.rs
@@ -1,28 +1,23 @@
-//! Starts a proxy from a checked configuration, and feeds it the lists that its inventory gives.
+//! Starts a proxy from a checked configuration, and feeds it the lists that its inventory or its
+//! planners give.
 
-use super::config::{Config, Inventory};
+use super::config::{Config, ListFrom};
+use super::lists::Lists;
 use super::members::Members;
-use super::resolve::{Resolved, resolve};
+use super::resolve::Resolved;
 use crate::engine::{Engine, News};
 use crate::proxy::backend::{Answers, Http};
 use crate::proxy::limits::{Budget, Caps};
 use crate::proxy::request::Dialect;
 use crate::proxy::server::{self, Server};
-use dewpier_inventory::io::{Source, Update};
 use dewpier_inventory::{Backend, State};
 use std::collections::hash_map::RandomState;
 use std::hash::{BuildHasher, Hasher};
 use std::io;
 use std::net::SocketAddr;
-use std::time::Duration;
 use thiserror::Error;
 use tokio::signal::unix::{SignalKind, signal};
-use tokio::sync::{Notify, mpsc};
-
-/// Lists that may wait to be taken in. The thread that reads them waits when there are more.
-const WAITING: usize = 2;
-/// The first list must have come by then.
-const FIRST_WITHIN: Duration = Duration::from_secs(30);
+use tokio::sync::Notify;
 
 /// Why a proxy does not start.
 #[derive(Debug, Error)]
@@ -62,34 +57,14 @@
     reload: &Notify,
     stop: impl Future<Output = ()>,
 ) -> Result<(), ServeError> {
-    let Config { listen, descriptors, memory, inventory, settings, wire, routes } = config;
-    let (updates, mut heard) = mpsc::channel(WAITING);
-    let Inventory { file, options, rules, poll, names } = inventory;
-    let shown = file.display().to_string();
-    // Names are looked up on the thread that reads the file, which nothing else waits for.
-    let resolver = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    let source = Source::start(&file, options, rules, poll, move |update| {
-        let news = match update {
-            Update::Accepted(list) => {
-                let resolved = resolver.block_on(resolve(&list.backends, names));
-                Ok(resolved.map_err(|error| error.to_string())?)
-            }
-            Update::Rejected(why) => Err(why),
-            Update::Notice(text) => {
-                eprintln!("dewpier: {text}");
-                return Ok(());
-            }
-        };
-        let _ = updates.blocking_send(news); // the proxy is ending
-        Ok(())
-    })?;
+    let Config { listen, descriptors, memory, source, settings, wire, routes } = config;
+    let mut lists = match source {
+        ListFrom::Inventory(inventory) => Lists::of_inventory(inventory)?,
+        ListFrom::Planners(planners) => Lists::of_planners(planners),
+    };
     // Nothing is served before there is a list, and a proxy that can't have one says so and ends.
     let mut members = Members::new(wire.zones.clone());
-    let first: Resolved = match tokio::time::timeout(FIRST_WITHIN, heard.recv()).await {
-        Ok(Some(Ok(list))) => list,
-        Ok(Some(Err(why))) => return Err(ServeError::Inventory(why)),
-        Ok(None) | Err(_) => return Err(ServeError::Inventory(format!("{shown}: no list in time"))),
-    };
+    let first = lists.first().await?;
 
     let caps = Caps::new(descriptors, memory);
     let upstream = Http {
@@ -109,22 +84,21 @@
         other => other,
     };
     engine.news(remembered);
-    eprintln!("dewpier: {}", summary(&first, &shown));
+    eprintln!("dewpier: {}", summary(&first, lists.from()));
     ready(address);
     let server = Server::new(engine.clone(), settings, wire, Dialect::Plain(routes), caps);
     let listing = async move {
         loop {
             tokio::select! {
-                news = heard.recv() => match news {
-                    Some(Ok(list)) => {
+                news = lists.next() => match news {
+                    Ok(list) => {
                         engine.news(members.news(&pairs(&list), engine.clock().now()));
                         members.forget(|id| engine.knows(id));
-                        eprintln!("dewpier: {}", summary(&list, &shown));
+                        eprintln!("dewpier: {}", summary(&list, lists.from()));
                     }
-                    Some(Err(why)) => eprintln!("dewpier: the last good list serves on: {why}"),
-                    None => std::future::pending().await,
+                    Err(why) => eprintln!("dewpier: the last good list serves on: {why}"),
                 },
-                () = reload.notified() => source.reload(),
+                () = reload.notified() => lists.reload(),
             }
         }
     };
--- a/tests/common/served.rs
+++ b/tests/common/served.rs
@@ -1,5 +1,7 @@
 //! The program as `dewpier serve` starts it, with an inventory that the test rewrites.
 
+#![allow(dead_code)] // not every test needs all of it
+
 use dewpier_standins::backend::Backend;
 use dewpier_standins::{LONG, wait_for};
 use std::io::{BufRead, BufReader};
@@ -39,13 +41,36 @@
     }
 
     pub fn of(file: &Path, settings: &str) -> Self {
-        let config = folder("config").join("dewpier.toml");
         let text =
             format!("listen = \"127.0.0.1:0\"\n[inventory]\nfile = \"{}\"\n{settings}\n", file.display());
+        Self::run("serve", &text, file)
+    }
+
+    /// A planner at that address, which watches that inventory.
+    pub fn planner(listen: &str, file: &Path) -> Self {
+        let text = format!(
+            "listen = \"{listen}\"\n[inventory]\nfile = \"{}\"\nsettle_ms = 20\nmax_vanish = 0.9\n",
+            file.display()
+        );
+        Self::run("planner", &text, file)
+    }
+
+    /// A forwarder of these planners.
+    pub fn forwarder(name: &str, planners: &[SocketAddr]) -> Self {
+        let addresses: Vec<String> = planners.iter().map(|p| format!("\"{p}\"")).collect();
+        let text = format!(
+            "listen = \"127.0.0.1:0\"\n[planners]\nname = \"{name}\"\naddresses = [{}]\n",
+            addresses.join(", ")
+        );
+        Self::run("forwarder", &text, Path::new(""))
+    }
+
+    fn run(command: &str, text: &str, file: &Path) -> Self {
+        let config = folder("config").join("dewpier.toml");
         std::fs::write(&config, text).unwrap();
-        let mut command = Command::new(env!("CARGO_BIN_EXE_dewpier"));
+        let mut started = Command::new(env!("CARGO_BIN_EXE_dewpier"));
         let mut child =
-            command.arg("serve").arg("--config").arg(config).stderr(Stdio::piped()).spawn().unwrap();
+            started.arg(command).arg("--config").arg(config).stderr(Stdio::piped()).spawn().unwrap();
         let log = Arc::new(Mutex::new(Vec::new()));
         let (lines, stderr) = (log.clone(), BufReader::new(child.stderr.take().unwrap()));
         std::thread::spawn(move || {
@@ -54,7 +79,7 @@
             }
         });
         let mut served = Self { child, address: ([127, 0, 0, 1], 0).into(), file: file.to_path_buf(), log };
-        let (_, line) = served.logged(0, "listening on ");
+        let (_, line) = served.logged(0, "ing on 127.");
         served.address = line.rsplit(' ').next().unwrap().parse().unwrap();
         served
     }
--- /dev/null
+++ b/tests/plan.rs
@@ -0,0 +1,105 @@
+//! Forwarders that go by a planner's plan, over real sockets: nodes drain, the planner is killed
+//! and comes back, all under load.
+
+#[path = "common/served.rs"]
+mod served;
+
+use dewpier_standins::backend::Backend;
+use dewpier_standins::load::{Load, Tally};
+use dewpier_standins::wait_for;
+use served::*;
+use std::collections::HashMap;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+const GRACE: Duration = Duration::from_millis(500);
+
+fn load(address: SocketAddr, name: &'static str) -> Load {
+    let script = move |client: usize, n: u64| {
+        let order =
+            if n.is_multiple_of(4) { format!("X-Order: {name}-{client}-{n}\r\n") } else { String::new() };
+        let method = if order.is_empty() { "GET" } else { "POST" };
+        format!("{method} /orders HTTP/1.1\r\nHost: shop\r\n{order}Content-Length: 0\r\n\r\n")
+    };
+    Load::start(address, 4, Duration::from_millis(1), Arc::new(script))
+}
+
+fn late(backend: &Backend, since: Instant) -> usize {
+    backend.arrivals().iter().filter(|a| a.at > since + GRACE).count()
+}
+
+#[test]
+fn forwarders_follow_a_planner_through_drains_and_its_death() {
+    let backends: Vec<Backend> =
+        (0..6).map(|i| Backend::start(&format!("b{i}"), Duration::from_micros(200))).collect();
+    let file = folder("plan").join("nodes.csv");
+    let good = table(&backends);
+    std::fs::write(&file, &good).unwrap();
+    let without = |from: usize, to: usize| -> String {
+        let drained = |l: &str| (from..to).any(|i| l.starts_with(&format!("pricing-{i:02}")));
+        good.lines()
+            .map(|l| if drained(l) { l.replace("serving", "draining") } else { l.into() } + "\n")
+            .collect()
+    };
+    let mut planner = Served::planner("127.0.0.1:0", &file);
+    let address = planner.address;
+    let forwarders = [Served::forwarder("f0", &[address]), Served::forwarder("f1", &[address])];
+    let loads = [load(forwarders[0].address, "f0"), load(forwarders[1].address, "f1")];
+    wait_for("load on all", || backends.iter().all(|b| b.count() > 20));
+
+    // A drain: from the moment that the planner was told, by its own log.
+    let lines = planner.lines();
+    replace(&file, without(0, 1).as_bytes());
+    let (told, _) = planner.logged(lines, "plan ");
+    std::thread::sleep(Duration::from_millis(1200));
+    assert_eq!(late(&backends[0], told), 0);
+
+    // Strangers and nonsense at its door change nothing.
+    for nonsense in
+        [&b"\xff\xff\xff\xff"[..], b"\x03\x00\x00\x00abc", b"\x00\x00\x00\x00", b"GET / HTTP/1.1\r\n\r\n"]
+    {
+        let mut stream = TcpStream::connect(address).unwrap();
+        stream.set_read_timeout(Some(dewpier_standins::LONG)).unwrap();
+        stream.write_all(nonsense).unwrap();
+        let mut answer = Vec::new();
+        let _ = stream.read_to_end(&mut answer);
+        assert!(answer.is_empty(), "{answer:?}");
+    }
+
+    // It dies; forwarding goes on by the last plan, and nothing goes to what drains.
+    planner.child.kill().unwrap();
+    planner.child.wait().unwrap();
+    let counts: Vec<usize> = backends.iter().map(Backend::count).collect();
+    wait_for("load without planner", || {
+        backends.iter().zip(&counts).skip(1).all(|(b, n)| b.count() > n + 50)
+    });
+    assert_eq!(late(&backends[0], told), 0);
+
+    // Another one takes its place, with a drain more, and one that is over.
+    replace(&file, without(1, 2).as_bytes());
+    let again = Served::planner(&address.to_string(), &file);
+    for forwarder in &forwarders {
+        wait_for("the new plan", || {
+            forwarder.log().iter().filter(|l| l.contains("backends from")).count() >= 3
+        });
+    }
+    let known = Instant::now();
+    std::thread::sleep(Duration::from_millis(1200));
+    assert_eq!(late(&backends[1], known), 0);
+    let before = backends[0].count();
+    wait_for("the one that is back", || backends[0].count() > before + 5);
+
+    let mut tally = Tally::default();
+    loads.into_iter().for_each(|load| tally.add(load.stop()));
+    assert_eq!((tally.refused, tally.failed, tally.lost), (0, 0, 0), "of {}", tally.all());
+    assert!(tally.served > 1000);
+    let mut orders: HashMap<String, usize> = HashMap::new();
+    for order in backends.iter().flat_map(|b| b.arrivals()).filter_map(|a| a.order) {
+        *orders.entry(order).or_default() += 1;
+    }
+    assert!(orders.len() > 100 && orders.values().all(|n| *n == 1), "an order ran twice");
+    forwarders.into_iter().for_each(Served::stop);
+    again.stop();
+}
