Leases at the gate: a forwarder that stood still sends nothing by a plan that is over

Need: a process stopped for seconds wakes with its clients' requests in its sockets and an old plan.

Change: the engine's gate asks a lease, on the monotonic clock, right before the first byte. Inventories hold for good.

--- a/crates/plan/src/follower.rs
+++ b/crates/plan/src/follower.rs
@@ -11,6 +11,11 @@
 /// The longest lease that a planner may give: one that is told of a longer one holds it for so long.
 pub const MOST_LEASE: Duration = Duration::from_secs(10);
 
+/// Questions in a row after which no planner has vouched for what is here, each after the one before was given its time, until
+/// all of them count as silent. Questions and not time, as a process that stood still for a minute
+/// has asked nothing meanwhile: what it then hears first must come before what it sends.
+pub const SILENT_AFTER: u32 = 3;
+
 /// Why a message changes nothing. Each kind is counted.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Error)]
 pub enum Refused {
@@ -66,6 +71,8 @@
     beats: HashMap<usize, Beats>,
     asked: u64,
     until: Option<Duration>,
+    /// Rounds of questions since one was answered.
+    unanswered: u32,
     refused: HashMap<Refused, u64>,
 }
 
@@ -90,6 +97,20 @@
         }
     }
 
+    /// Until when something new may be sent by what is here: the end of the lease. None: for as long as
+    /// the planners stay silent, as each has been asked [`SILENT_AFTER`] times in vain.
+    pub fn may_send_until(&self) -> Option<Duration> {
+        match self.unanswered >= SILENT_AFTER {
+            true => None,
+            false => Some(self.until.unwrap_or_default()),
+        }
+    }
+
+    /// A round of questions begins: the one before was given its time.
+    pub fn round(&mut self) {
+        self.unanswered = self.unanswered.saturating_add(1);
+    }
+
     /// How often each kind of message was refused.
     pub fn refused(&self) -> &HashMap<Refused, u64> {
         &self.refused
@@ -219,6 +240,7 @@
             _ => {
                 let until = asked + Duration::from_millis(lease_ms).min(MOST_LEASE);
                 self.until = Some(self.until.map_or(until, |known| known.max(until)));
+                self.unanswered = 0;
                 Heard::Noted
             }
         }
--- a/crates/plan/src/io/follow.rs
+++ b/crates/plan/src/io/follow.rs
@@ -34,16 +34,42 @@
 }
 
 /// Follows all planners until it is dropped; `changed` is called whenever the nodes to go by have
-/// changed. Runs on one thread.
-pub async fn follow(following: Following, follower: Rc<RefCell<Follower>>, changed: impl Fn(&Follower)) {
+/// changed, and `lease` after all that may have moved its end. Runs on one thread.
+pub async fn follow(
+    following: Following,
+    follower: Rc<RefCell<Follower>>,
+    changed: impl Fn(&Follower),
+    lease: impl Fn(Option<Instant>),
+) {
     let (told, mut heard) = mpsc::channel::<(usize, Word)>(WAITING);
     let mut tasks = tokio::task::JoinSet::new();
     let mut writers: Vec<Option<mpsc::Sender<Asked>>> = vec![None; following.planners.len()];
     for (planner, address) in following.planners.iter().enumerate() {
         tasks.spawn(connected(planner, *address, following.beat, told.clone()));
     }
-    while let Some((planner, word)) = heard.recv().await {
-        let now = following.start.elapsed();
+    let mut beats = tokio::time::interval(following.beat);
+    // After a pause one round of questions is enough, and the next is given its time.
+    beats.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        let (planner, word) = tokio::select! {
+            // What has come is taken in before anything is asked: an answer that waits is one.
+            biased;
+            word = heard.recv() => match word {
+                Some(word) => word,
+                None => return,
+            },
+            _ = beats.tick() => {
+                let mut follower = follower.borrow_mut();
+                follower.round();
+                for (planner, writer) in writers.iter().enumerate() {
+                    let question = follower.ask(planner, following.start.elapsed());
+                    // A connection that takes no questions gets none, and its lease ends.
+                    writer.iter().for_each(|w| drop(w.try_send(question.clone())));
+                }
+                lease(follower.may_send_until().map(|until| following.start + until));
+                continue;
+            }
+        };
         let mut follower = follower.borrow_mut();
         match word {
             Word::Up(writer) => {
@@ -55,26 +81,26 @@
                 writers[planner] = None;
                 follower.lost(planner);
             }
-            Word::Beat => {
-                let question = follower.ask(planner, now);
-                // A connection that takes no questions gets none, and its lease ends.
-                writers[planner].iter().for_each(|w| drop(w.try_send(question.clone())));
-            }
             Word::Told(told) => match follower.hear(planner, told) {
-                Heard::Changed => changed(&follower),
+                Heard::Changed => {
+                    changed(&follower);
+                    // Whoever told of a plan can vouch for it: there is no waiting for the next round.
+                    let question = follower.ask(planner, following.start.elapsed());
+                    writers[planner].iter().for_each(|w| drop(w.try_send(question.clone())));
+                }
                 Heard::Ask(question) => {
                     writers[planner].iter().for_each(|w| drop(w.try_send(question.clone())));
                 }
                 Heard::Noted | Heard::Refused(_) => {}
             },
         }
+        lease(follower.may_send_until().map(|until| following.start + until));
     }
 }
 
 enum Word {
     Up(mpsc::Sender<Asked>),
     Down,
-    Beat,
     Told(Told),
 }
 
@@ -126,15 +152,8 @@
         }
         Ok(())
     };
-    let beating = async {
-        loop {
-            tokio::time::sleep(beat).await;
-            told.send((planner, Word::Beat)).await.map_err(gone)?;
-        }
-    };
     tokio::select! {
         ended = reading => ended,
         ended = writing => ended,
-        ended = beating => ended,
     }
 }
--- a/crates/plan/tests/follows.rs
+++ b/crates/plan/tests/follows.rs
@@ -78,6 +78,40 @@
     assert_eq!(follower.hear(0, planner.beat(number, 400)), Heard::Refused(Refused::Unasked));
 }
 
+#[test]
+fn a_process_that_stood_still_sends_nothing_until_it_has_asked_anew() {
+    let ms = Duration::from_millis;
+    let mut follower = Follower::default();
+    let mut planner = Publisher::new(1, 1, 1);
+    planner.update(vec![node("a", false)]);
+    follower.hear(0, Told::Full(planner.plan().clone()));
+    assert_eq!(follower.may_send_until(), Some(ms(0)));
+    follower.round();
+    let Asked::Beat { number } = follower.ask(0, ms(100)) else { panic!() };
+    follower.hear(0, planner.beat(number, 400));
+    assert_eq!(follower.may_send_until(), Some(ms(500)));
+    // It stands still for a minute, and a node drains meanwhile. One question more is asked, and
+    // that is not silence yet; the answer vouches for a plan that is not here.
+    follower.round();
+    let Asked::Beat { number } = follower.ask(0, ms(60_000)) else { panic!() };
+    assert_eq!(follower.may_send_until(), Some(ms(500)));
+    planner.update(vec![node("a", true)]);
+    assert_eq!(follower.hear(0, planner.beat(number, 400)), Heard::Ask(Asked::Resend));
+    assert_eq!(follower.may_send_until(), Some(ms(500)));
+    follower.hear(0, Told::Full(planner.plan().clone()));
+    let Asked::Beat { number } = follower.ask(0, ms(60_010)) else { panic!() };
+    follower.hear(0, planner.beat(number, 400));
+    assert_eq!((follower.may_send_until(), draining(&follower)), (Some(ms(60_410)), vec!["a".to_string()]));
+    // Asked three times in vain, it goes on by what it has; and one that is behind does not count.
+    for n in 0..3 {
+        assert!(follower.may_send_until().is_some());
+        follower.round();
+        let Asked::Beat { number } = follower.ask(1, ms(61_000 + n)) else { panic!() };
+        follower.hear(1, Publisher::new(2, 0, 1).beat(number, 400));
+    }
+    assert_eq!(follower.may_send_until(), None);
+}
+
 #[test]
 fn whatever_the_network_does_plans_go_forward_and_drains_hold() {
     let mut rng = Rng::from_env("PLAN_SEED", 7);
--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -9,7 +9,7 @@
 
 pub use clock::Clock;
 pub use list::{Ask, Listed, News};
-pub use upstream::{Attempt, Done, Gate, Upstream};
+pub use upstream::{Attempt, Done, Gate, Lease, Upstream};
 
 use crate::{
     Action, BackendId, Balancer, Ended, Entry, Event, ListUpdate, Outcome, Report, Request, RequestId,
@@ -132,6 +132,7 @@
     this: Weak<Self>,
     state: RefCell<State<U>>,
     upstream: U,
+    lease: Rc<Lease>,
     clock: Clock,
     timer_set: Notify,
     /// How late timers have fired of late: as long may a request have waited to be read.
@@ -145,12 +146,18 @@
 }
 
 impl<U: Upstream> Engine<U> {
-    /// An engine with a module of its own, and its timers running.
+    /// An engine with a module of its own, and its timers running. Its lists hold for good.
     pub fn start(settings: Settings, bounds: Bounds, seed: u64, upstream: U) -> Rc<Self> {
+        Self::leased(settings, bounds, seed, upstream, Rc::default())
+    }
+
+    /// The same, with lists that are lent.
+    pub fn leased(settings: Settings, bounds: Bounds, seed: u64, upstream: U, lease: Rc<Lease>) -> Rc<Self> {
         let clock = Clock::start();
         let engine = Rc::new_cyclic(|this| Self {
             this: this.clone(),
             upstream,
+            lease,
             clock,
             timer_set: Notify::new(),
             lag: Cell::new(0.0),
@@ -266,7 +273,7 @@
             }
             let drained = (entry.status != Status::InService).then_some(last_send);
             let known = state.endpoints.entry(entry.id).or_insert_with(|| Known {
-                gate: Rc::default(),
+                gate: Rc::new(Gate::leased(self.lease.clone())),
                 endpoint: Rc::new(self.upstream.endpoint(*address)),
             });
             self.upstream.moved(&known.endpoint, *address);
--- a/src/engine/upstream.rs
+++ b/src/engine/upstream.rs
@@ -9,10 +9,31 @@
 use std::rc::Rc;
 use tokio::time::Instant;
 
+/// Until when the whole list may be gone by, where its source lends it for a time only. It counts on
+/// the system's monotonic clock and is asked right before a first byte goes out, so that a process
+/// that stood still sends nothing by a list that is over.
+#[derive(Debug, Default)]
+pub struct Lease {
+    until: Cell<Option<std::time::Instant>>,
+}
+
+impl Lease {
+    /// Until then; None: for good.
+    pub fn set(&self, until: Option<std::time::Instant>) {
+        self.until.set(until);
+    }
+
+    /// The list may be gone by.
+    pub fn holds(&self) -> bool {
+        self.until.get().is_none_or(|until| std::time::Instant::now() < until)
+    }
+}
+
 /// When sends to a backend must end, and whether it is gone: the engine sets it by the list, and
 /// an attempt asks it right before its first byte goes out.
 #[derive(Debug, Default)]
 pub struct Gate {
+    lease: Rc<Lease>,
     /// Set while it drains or is gone.
     last_send: Cell<Option<Time>>,
     /// The list says so, or no longer names it.
@@ -20,6 +41,11 @@
 }
 
 impl Gate {
+    /// A gate that is shut while the lease on the list is over.
+    pub fn leased(lease: Rc<Lease>) -> Self {
+        Self { lease, ..Self::default() }
+    }
+
     /// What the list now says: nothing against it, or when sends must end. Hearing of the same
     /// drain again doesn't extend the grace.
     pub fn update(&self, last_send: Option<Time>) {
@@ -36,12 +62,17 @@
 
     /// Something new may be sent now.
     pub fn may_send(&self, clock: &Clock) -> bool {
-        self.last_send.get().is_none_or(|last| clock.now() < last)
+        self.lease.holds() && !self.ended(clock)
+    }
+
+    /// Its last send is past.
+    fn ended(&self, clock: &Clock) -> bool {
+        self.last_send.get().is_some_and(|last| clock.now() >= last)
     }
 
     /// It is gone, and its grace is over.
     pub fn forgettable(&self, clock: &Clock) -> bool {
-        self.gone.get() && !self.may_send(clock)
+        self.gone.get() && self.ended(clock)
     }
 }
 
--- a/src/serve/lists.rs
+++ b/src/serve/lists.rs
@@ -3,6 +3,7 @@
 use super::config::{Inventory, Planners};
 use super::resolve::{Resolved, resolve};
 use super::run::ServeError;
+use crate::engine::Lease;
 use dewpier_inventory::io::{Source, Update};
 use dewpier_inventory::{Address, Backend, Host, State};
 use dewpier_plan::io::{Following, follow};
@@ -20,10 +21,14 @@
 /// The first list must have come by then.
 const FIRST_WITHIN: Duration = Duration::from_secs(30);
 
+/// How often it is seen whether that one may be gone by.
+const LOOK: Duration = Duration::from_millis(5);
+
 /// Lists, one after another.
 pub struct Lists {
     feed: Feed,
     from: String,
+    lease: Rc<Lease>,
 }
 
 enum Feed {
@@ -68,7 +73,8 @@
             let _ = updates.blocking_send(news); // the program is ending
             Ok(())
         })?;
-        Ok(Self { feed: Feed::Inventory { heard, source }, from: file.display().to_string() })
+        let from = file.display().to_string();
+        Ok(Self { feed: Feed::Inventory { heard, source }, from, lease: Rc::default() })
     }
 
     /// The lists that planners tell. Runs on a [`tokio::task::LocalSet`].
@@ -83,8 +89,12 @@
         };
         let follower = Rc::new(RefCell::new(Follower::default()));
         let changed = move |follower: &Follower| drop(told.send_replace(follower.nodes()));
-        let following = tokio::task::spawn_local(follow(following, follower, changed)).abort_handle();
-        Self { feed: Feed::Planners { latest, following }, from }
+        let lease = Rc::new(Lease::default());
+        lease.set(Some(following.start)); // over until a planner vouches
+        let lent = lease.clone();
+        let following = follow(following, follower, changed, move |until| lent.set(until));
+        let following = tokio::task::spawn_local(following).abort_handle();
+        Self { feed: Feed::Planners { latest, following }, from, lease }
     }
 
     /// Where they come from.
@@ -92,6 +102,11 @@
         &self.from
     }
 
+    /// For how long its lists may be gone by.
+    pub fn lease(&self) -> Rc<Lease> {
+        self.lease.clone()
+    }
+
     /// Has the source asked at once, where that makes a difference.
     pub fn reload(&self) {
         if let Feed::Inventory { source, .. } = &self.feed {
@@ -117,7 +132,15 @@
 
     /// The first list, without which there is nothing to serve.
     pub async fn first(&mut self) -> Result<Resolved, ServeError> {
-        match tokio::time::timeout(FIRST_WITHIN, self.next()).await {
+        let first = async {
+            let list = self.next().await;
+            // One that may not be gone by yet is none to serve by.
+            while !self.lease.holds() {
+                tokio::time::sleep(LOOK).await;
+            }
+            list
+        };
+        match tokio::time::timeout(FIRST_WITHIN, first).await {
             Ok(list) => list.map_err(ServeError::Inventory),
             Err(_) => Err(ServeError::Inventory(format!("{}: no list in time", self.from))),
         }
--- a/src/serve/run.rs
+++ b/src/serve/run.rs
@@ -78,7 +78,7 @@
     let address = listener.local_addr()?;
     // The keys of the standard hasher are random; no more is needed of a seed.
     let seed = RandomState::new().build_hasher().finish();
-    let engine = Engine::start(settings.clone(), wire.bounds(), seed, upstream);
+    let engine = Engine::leased(settings.clone(), wire.bounds(), seed, upstream, lists.lease());
     let remembered = match members.news(&pairs(&first), engine.clock().now()) {
         News::Full(list) => News::Remembered(list),
         other => other,
