A backend's 503 to an unsafe request that may have run goes through as 502

Seen on reading the whole change: a server error of a backend is passed on where a request comes to nothing better, and so was a 503. 503 says that trying again does no harm, whoever words it; an unsafe request may have run. It is 502 now, with the backend's body; one marked as turned away is still a refusal. Test: tests/serve.rs, sent once and answered 502.

--- a/src/proxy/server.rs
+++ b/src/proxy/server.rs
@@ -240,6 +240,11 @@
         let answer = answer.await;
         drop(leaving); // it has had its answer: nothing is told
         match answer {
+            // 503 says that trying again does no harm, whoever words it: a backend's own does not
+            // go through where the request may have run.
+            Ok(Answer::Failed(Some(served))) if served.status == StatusCode::SERVICE_UNAVAILABLE => {
+                plain(StatusCode::BAD_GATEWAY, served.body)
+            }
             Ok(Answer::Served(served))
             | Ok(Answer::Refused(_, Some(served)))
             | Ok(Answer::Failed(Some(served))) => {
--- a/tests/serve.rs
+++ b/tests/serve.rs
@@ -61,6 +61,7 @@
                          Set-Cookie: a=1\r\nSet-Cookie: b=2\r\nContent-Length: 2\r\n\r\nok"
                 .into(),
             "/none" => answer("404 Not Found", "none"),
+            "/busy" => answer("503 Service Unavailable", "busy"),
             "/broken" => answer("500 Internal Server Error", "sorry"),
             "/head" => "HTTP/1.1 200 OK\r\nContent-Length: 1234\r\n\r\n".into(),
             _ => answer("200 OK", "hello"),
@@ -88,6 +89,10 @@
     let answer = ask(&mut client, &plain("POST", "/broken", ""));
     assert_eq!((answer.status(), answer.body.as_slice()), (500, b"sorry".as_slice()));
     assert_eq!(asked() - before, 1);
+    // A 503 that does not say that the request was turned away promises nothing.
+    assert_eq!(ask(&mut client, &plain("POST", "/busy", "")).status(), 502);
+    assert_eq!(asked() - before, 2);
+    let before = before + 1;
     let answer = ask(&mut served.connect(), &plain("GET", "/broken", ""));
     assert_eq!((answer.status(), answer.body.as_slice()), (500, b"sorry".as_slice()));
     assert_eq!(asked() - before, 3, "a safe request is tried again");
