--- a/crates/cluster/src/cluster.rs
+++ b/crates/cluster/src/cluster.rs
@@ -1,5 +1,6 @@
 //! One planner among others, over TCP.
 
+use crate::beside::beside;
 use crate::fleet::{Command, Fleet};
 use crate::join::{Join, Standing, Step, identity, number};
 use crate::link::{Answered, Link, MOST_BYTES, Message, Question, Reply, Status, ToMember, read, write};
@@ -165,6 +166,7 @@
     pub fn observe(&self, nodes: Vec<Node>) {
         let drains = self.known().announcer.observe(nodes);
         self.planner.drains(drains);
+        self.beside(&self.told.borrow().clone());
         self.wake.notify_one();
     }
 
@@ -205,11 +207,32 @@
         let mut told = self.told.subscribe();
         while told.changed().await.is_ok() {
             let fleet = told.borrow_and_update().clone();
+            self.beside(&fleet);
             self.planner.publish(fleet.plan());
             self.wake.notify_one();
         }
     }
 
+    /// Tells what the others list and it does not, while its own view is not among theirs.
+    fn beside(&self, fleet: &Fleet) {
+        let (drains, turned) = {
+            let mut known = self.known();
+            let Known { announcer, vouch, .. } = &mut *known;
+            let before = vouch.withheld();
+            let drains = beside(fleet, self.settings.number, announcer, vouch);
+            (drains, (vouch.withheld() != before).then(|| vouch.withheld()))
+        };
+        let me = self.settings.number;
+        match turned {
+            Some(true) => eprintln!(
+                "planner {me}: it lacks more than half of the nodes that others list, and stands back"
+            ),
+            Some(false) => eprintln!("planner {me}: it lists what others do again"),
+            None => {}
+        }
+        self.planner.drains(drains);
+    }
+
     // ---- Its place among the planners ----
 
     /// Does what is due.
@@ -290,8 +313,8 @@
         let command = {
             let mut known = self.known();
             let mark = known.announcer.mark();
-            if mark.sequence == 0 {
-                return; // it has seen nothing yet
+            if mark.sequence == 0 || known.vouch.withheld() {
+                return; // it has seen nothing yet, or what can't be right
             }
             match fleet.mark(me) {
                 Some(agreed) if agreed == mark => return,
--- a/crates/cluster/src/fleet.rs
+++ b/crates/cluster/src/fleet.rs
@@ -2,8 +2,9 @@
 //! these. A state machine without I/O or clock: the same commands in the same order give the same plan.
 //!
 //! - A node is in the plan while any planner lists it, as the one with the lowest number has it.
-//! - It drains while any planner says so, or has listed it before and does so no more: a planner that
-//!   has not heard yet can't bring it back.
+//! - It drains while any planner says so, or has listed it before and does so no more: a planner that has
+//!   not heard yet can't bring it back. Where a view begins beside others it is not known whose word is
+//!   the later one: what only some of them list drains, too, until all have listed it.
 //! - The view of a planner that was silent for long is taken out ([`Command::Expel`]), once the others
 //!   have read membership anew; it comes back with a view of a higher epoch.
 
@@ -125,12 +126,25 @@
                 if mark.epoch <= self.views.get(&planner).map_or(0, |known| known.mark.epoch) {
                     return Err(Passed::Old);
                 }
+                // What the others list and it doesn't has ended by its word: it has just looked.
+                let others = self.views.iter().filter(|(number, view)| **number != planner && !view.expelled);
+                let others: Vec<String> = others.flat_map(|(_, view)| view.nodes.keys().cloned()).collect();
                 let known = self.views.entry(planner).or_default();
                 let nodes: BTreeMap<String, Node> = nodes.into_iter().map(|n| (n.id.clone(), n)).collect();
                 let mut ended = std::mem::take(&mut known.ended);
-                ended.extend(known.nodes.keys().cloned());
+                ended.extend(known.nodes.keys().cloned().chain(others));
                 ended.retain(|id| !nodes.contains_key(id));
+                // And what it lists and another does not has ended by that other's word, which may be the
+                // later one. Where that is most of the list, the other has read a wrong one.
+                let listed: Vec<String> = nodes.keys().cloned().collect();
                 *known = View { mark, nodes, ended, expelled: false };
+                for (_, view) in self.views.iter_mut().filter(|(q, v)| **q != planner && !v.expelled) {
+                    let lacks: Vec<&String> =
+                        listed.iter().filter(|id| !view.nodes.contains_key(*id)).collect();
+                    if 2 * lacks.len() <= listed.len() {
+                        view.ended.extend(lacks.into_iter().cloned());
+                    }
+                }
             }
             Command::Change { planner, from, to, set, gone } => {
                 let view = self.views.get_mut(&planner).filter(|v| !v.expelled && v.mark == from);
--- a/crates/cluster/src/lib.rs
+++ b/crates/cluster/src/lib.rs
@@ -8,6 +8,7 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+pub mod beside;
 mod cluster;
 pub mod fleet;
 pub mod join;
--- a/crates/cluster/src/vouch.rs
+++ b/crates/cluster/src/vouch.rs
@@ -27,13 +27,25 @@
     peers: BTreeMap<u32, Peer>,
     /// When the last look at membership began that found all told.
     looked: Option<Duration>,
+    /// It is not to vouch for anything now.
+    withheld: bool,
 }
 
 impl Vouch {
     /// With these others, none of which was heard yet.
     pub fn new(peers: impl IntoIterator<Item = u32>, lease: Duration) -> Self {
         let silent = |number| (number, Peer { id: 0, known: Duration::ZERO, lost: Some(Duration::ZERO) });
-        Self { lease, peers: peers.into_iter().map(silent).collect(), looked: None }
+        Self { lease, peers: peers.into_iter().map(silent).collect(), looked: None, withheld: false }
+    }
+
+    /// It vouches for nothing from now on, or no longer does that.
+    pub fn withhold(&mut self, withheld: bool) {
+        self.withheld = withheld;
+    }
+
+    /// It vouches for nothing now.
+    pub fn withheld(&self) -> bool {
+        self.withheld
     }
 
     /// A planner answered a question of `asked`: all that it was told by then is here. `id` is that of
@@ -66,7 +78,7 @@
 
     /// For how long from `now` on it may vouch.
     pub fn lease(&self, now: Duration) -> Duration {
-        let Some(looked) = self.looked else { return Duration::ZERO };
+        let Some(looked) = self.looked.filter(|_| !self.withheld) else { return Duration::ZERO };
         let known = self.peers.values().map(|p| p.known.max(looked)).min().unwrap_or(now);
         (known + self.lease).saturating_sub(now).min(self.lease)
     }
--- a/crates/cluster/tests/fleet.rs
+++ b/crates/cluster/tests/fleet.rs
@@ -89,8 +89,22 @@
                 continue;
             }
             applied += 1;
+            // What the others list when a view begins counts as seen by it.
+            let others = planners.iter().enumerate().filter(|(q, p)| *q != n && p.live);
+            let others: BTreeSet<String> = others.flat_map(|(_, p)| p.view.keys().cloned()).collect();
+            let p = &mut planners[n];
             match command {
-                Command::View { mark, .. } => (p.mark, p.view, p.live) = (mark, view, true),
+                Command::View { mark, .. } => {
+                    p.seen.extend(others);
+                    (p.mark, p.view, p.live) = (mark, view.clone(), true);
+                    for (_, q) in planners.iter_mut().enumerate().filter(|(q, p)| *q != n && p.live) {
+                        let lacks: Vec<&String> =
+                            view.keys().filter(|id| !q.view.contains_key(*id)).collect();
+                        if 2 * lacks.len() <= view.len() {
+                            q.seen.extend(lacks.into_iter().cloned());
+                        }
+                    }
+                }
                 Command::Change { to, .. } => (p.mark, p.view) = (to, view),
                 Command::Expel { epoch, .. } => {
                     (p.mark, p.live) = (mark(epoch, u64::MAX), false);
--- a/crates/plan/benches/growth.rs
+++ b/crates/plan/benches/growth.rs
@@ -1,17 +1,19 @@
 //! How a planner's cost grows: 10, 100 and 1,000 forwarders by 100 and 1,000 nodes, on real sockets
 //! over loopback. Prints the part of a core that the planner takes, the bytes a second to and from all
-//! forwarders, and the time from a drain's news to the first, the middle and the last forwarder.
+//! forwarders, and the time from a drain's news, and from a plan that changes one node, to the first, the
+//! middle and the last forwarder.
 //!
 //! One planner on a thread of its own; all forwarders share another, so that the time to the last of
 //! them is an upper bound: there each has a machine of its own. Forwarders ask ten times and send a
-//! digest of 64 nodes once a second, as they do by default. Each row once with all nodes warm and
-//! once with 16 cold ones, which every digest is answered with a budget for. Never a verdict.
+//! digest of 64 nodes once a second, as they do by default. Each row once with all nodes warm, once with
+//! 16 cold ones, which every digest is answered with a budget for, and once with forwarders that use 64
+//! nodes each. Never a verdict.
 //!
-//! `cargo bench -p dewpier-plan --bench growth`, one minute.
+//! `cargo bench -p dewpier-plan --bench growth`, two minutes.
 
 use dewpier_plan::io::{Following, Planner, Security, Seen, follow};
 use dewpier_plan::wire::{write_asked, write_told};
-use dewpier_plan::{Asked, Counts, Digest, Follower, MOST_COUNTED, Mark, Node, Plan, Told, Version};
+use dewpier_plan::{Asked, Counts, Digest, Follower, MOST_COUNTED, Mark, Node, Plan, Slice, Told, Version};
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -26,7 +28,10 @@
 const BEAT: Duration = Duration::from_millis(100);
 const DIGEST: Duration = Duration::from_secs(1);
 const MEASURED: Duration = Duration::from_secs(3);
-const DRAINS: usize = 5;
+/// So often each kind of news is told.
+const TOLD: usize = 5;
+/// Nodes of a part.
+const PART: usize = 64;
 const COLD: usize = 16;
 /// Far beyond what any step takes.
 const LONG: Duration = Duration::from_secs(60);
@@ -96,12 +101,13 @@
 #[derive(Default)]
 struct Board {
     planned: AtomicUsize,
-    drains: Mutex<Vec<Instant>>,
+    told: Mutex<Vec<Instant>>,
 }
 
 fn forwarders_thread(
     count: usize,
     nodes: usize,
+    part: Option<usize>,
     planner: SocketAddr,
     board: Arc<Board>,
     over: oneshot::Receiver<()>,
@@ -128,7 +134,7 @@
                 if !planned.replace(true) {
                     board.planned.fetch_add(1, Ordering::SeqCst);
                 } else {
-                    board.drains.lock().unwrap_or_else(PoisonError::into_inner).push(Instant::now());
+                    board.told.lock().unwrap_or_else(PoisonError::into_inner).push(Instant::now());
                 }
             };
             let sending = async {
@@ -138,7 +144,9 @@
                     digests.send_replace(digest(nodes, forwarder));
                 }
             };
-            let follower = Rc::new(RefCell::new(Follower::default()));
+            let follower = Rc::new(RefCell::new(Follower::of(
+                part.map(|part| Slice::new(&format!("f{forwarder}"), part)),
+            )));
             tokio::join!(follow(following, follower, heard, seen), sending);
         });
     }
@@ -158,11 +166,12 @@
 struct Row {
     core: f64,
     bytes: [f64; 2],
-    /// First, middle and last, in seconds.
+    /// First, middle and last, in seconds: a drain, and a plan.
     drain: [f64; 3],
+    plan: [f64; 3],
 }
 
-fn played(forwarders: usize, nodes: usize, cold: usize) -> Row {
+fn played(forwarders: usize, nodes: usize, cold: usize, part: Option<usize>) -> Row {
     let planner = Planner::new(Box::new(|| Duration::from_millis(400)), 2 * forwarders);
     planner.publish(plan(nodes, cold));
     let (told, address) = channel();
@@ -173,7 +182,8 @@
     let (over, ends) = oneshot::channel();
     let board: Arc<Board> = Arc::default();
     let seen = board.clone();
-    let following = std::thread::spawn(move || forwarders_thread(forwarders, nodes, address, seen, ends));
+    let following =
+        std::thread::spawn(move || forwarders_thread(forwarders, nodes, part, address, seen, ends));
     wait("plan at all forwarders", || board.planned.load(Ordering::SeqCst) == forwarders);
     let ran = || {
         let (tell, told): (_, Receiver<Duration>) = channel();
@@ -183,20 +193,33 @@
     let (from, start) = (ran(), Instant::now());
     std::thread::sleep(MEASURED);
     let core = (ran() - from).as_secs_f64() / start.elapsed().as_secs_f64();
-    let mut drain = [0.0; 3];
-    for sequence in 1..=DRAINS as u64 {
-        let drains = || board.drains.lock().unwrap_or_else(PoisonError::into_inner);
-        drains().clear();
+    let heard = |tell: &dyn Fn(u64)| {
+        let mut sums = [0.0; 3];
+        for number in 1..=TOLD as u64 {
+            let told = || board.told.lock().unwrap_or_else(PoisonError::into_inner);
+            told().clear();
+            let news = Instant::now();
+            tell(number);
+            wait("news at all forwarders", || told().len() == forwarders);
+            let mut times: Vec<f64> = told().iter().map(|at| (*at - news).as_secs_f64()).collect();
+            times.sort_unstable_by(f64::total_cmp);
+            for (sum, at) in sums.iter_mut().zip([0, times.len() / 2, times.len() - 1]) {
+                *sum += times[at] / TOLD as f64;
+            }
+        }
+        sums
+    };
+    let drain = heard(&|sequence| {
         let mark = Mark { epoch: 1, sequence };
-        let news = Instant::now();
         planner.drains(vec![Told::Drain { planner: 0, mark, id: name(nodes - sequence as usize) }]);
-        wait("drain at all forwarders", || drains().len() == forwarders);
-        let mut times: Vec<f64> = drains().iter().map(|at| (*at - news).as_secs_f64()).collect();
-        times.sort_unstable_by(f64::total_cmp);
-        for (sum, at) in drain.iter_mut().zip([0, times.len() / 2, times.len() - 1]) {
-            *sum += times[at] / DRAINS as f64;
-        }
-    }
+    });
+    let changed = heard(&|number| {
+        let mut plan = plan(nodes, cold);
+        plan.version.generation = 1 + number;
+        let node = number as usize * nodes / (TOLD + 1);
+        plan.nodes[node].draining = true;
+        planner.publish(plan);
+    });
     let _ = over.send(());
     drop(questions);
     following.join().expect("the forwarders end");
@@ -210,22 +233,29 @@
     let question = write_asked(&Asked::Beat { number: 1000 }).len() as f64;
     let digests = write_asked(&Asked::Digest(digest(nodes, 0))).len() as f64;
     let all = forwarders as f64;
-    Row { core, bytes: [all * (beats * answer + budgets), all * (beats * question + digests)], drain }
+    Row {
+        core,
+        bytes: [all * (beats * answer + budgets), all * (beats * question + digests)],
+        drain,
+        plan: changed,
+    }
 }
 
 fn main() {
     println!(
-        "forwarders nodes cold | core of a planner | KB/s out, in | drain's news, ms: first, middle, last"
+        "forwarders nodes cold part | core of a planner | KB/s out, in | ms to the first, middle, last: drain | plan"
     );
-    for cold in [0, COLD] {
+    for (cold, part) in [(0, None), (COLD, None), (0, Some(PART))] {
         for forwarders in [10, 100, 1000] {
             for nodes in [100, 1000] {
-                let row = played(forwarders, nodes, cold);
-                let [first, middle, last] = row.drain.map(|t| t * 1000.0);
+                let row = played(forwarders, nodes, cold, part);
+                let millis = |times: [f64; 3]| times.map(|t| format!("{:>7.2}", t * 1000.0)).join(" ");
                 let [out, back] = row.bytes.map(|b| b / 1000.0);
-                let core = row.core;
+                let (core, part) = (row.core, part.unwrap_or(nodes));
                 println!(
-                    "{forwarders:>10} {nodes:>5} {cold:>4} | {core:>17.4} | {out:>7.1} {back:>7.1} | {first:>7.2} {middle:>7.2} {last:>7.2}"
+                    "{forwarders:>10} {nodes:>5} {cold:>4} {part:>4} | {core:>17.4} | {out:>7.1} {back:>7.1} | {} | {}",
+                    millis(row.drain),
+                    millis(row.plan)
                 );
             }
         }
--- a/crates/plan/src/announcer.rs
+++ b/crates/plan/src/announcer.rs
@@ -71,6 +71,20 @@
         self.tell(ended)
     }
 
+    /// What these have serving and it does not list.
+    pub fn lacks(&self, nodes: &[Node]) -> Vec<String> {
+        let known = |id: &str| self.view.binary_search_by(|n| n.id.as_str().cmp(id)).is_ok();
+        nodes.iter().filter(|n| !n.draining && !known(&n.id)).map(|n| n.id.clone()).collect()
+    }
+
+    /// Nodes that others list have ended by what it sees. Returns the drains to be told: each once in an
+    /// epoch.
+    pub fn ended(&mut self, mut ids: Vec<String>) -> Vec<Told> {
+        let epoch = self.mark.epoch;
+        ids.retain(|id| !self.news.iter().any(|(mark, told)| mark.epoch == epoch && told == id));
+        if ids.is_empty() { Vec::new() } else { self.tell(ids) }
+    }
+
     fn tell(&mut self, ended: Vec<String>) -> Vec<Told> {
         self.mark.sequence += 1;
         let mut told = Vec::with_capacity(ended.len());
--- a/crates/plan/src/follower.rs
+++ b/crates/plan/src/follower.rs
@@ -1,7 +1,7 @@
 //! The forwarder's side: which plan it goes by, which drains it knows ahead of any plan, and how
 //! long it may go by what it has.
 
-use crate::{Asked, Delta, MOST_NODES, MOST_PLANNERS, Mark, Node, Plan, Told, Version};
+use crate::{Asked, Delta, MOST_NODES, MOST_PLANNERS, Mark, Node, Plan, Slice, Told, Version};
 use std::collections::{HashMap, HashSet, VecDeque};
 use std::time::Duration;
 use thiserror::Error;
@@ -72,6 +72,8 @@
 /// A follower of several planners.
 #[derive(Debug, Default)]
 pub struct Follower {
+    /// The part of a plan that it keeps, if not all.
+    slice: Option<Slice>,
     plan: Option<Plan>,
     /// Drains that were told ahead of a plan, by node: the news of each planner that no plan has
     /// heard yet.
@@ -90,6 +92,18 @@
 }
 
 impl Follower {
+    /// One that keeps that part of every plan; with none the whole. Planners that know of parts tell it no
+    /// more than its own. Those of an older release tell all, of which it keeps its part: so memory is
+    /// bounded by the part either way.
+    pub fn of(slice: Option<Slice>) -> Self {
+        Self { slice, ..Self::default() }
+    }
+
+    /// The part of plans that it keeps.
+    pub fn slice(&self) -> Option<Slice> {
+        self.slice
+    }
+
     /// The version of the plan that holds.
     pub fn version(&self) -> Option<Version> {
         self.plan.as_ref().map(|p| p.version)
@@ -237,7 +251,10 @@
         self.take(Plan { version: delta.to, nodes, heard: heard.into_iter().collect() })
     }
 
-    fn take(&mut self, plan: Plan) -> Heard {
+    fn take(&mut self, mut plan: Plan) -> Heard {
+        if let Some(slice) = self.slice {
+            plan.nodes = slice.cut(plan.nodes);
+        }
         // A drain that was told ahead gives way to a plan only if that plan has heard of it: a
         // planner that has not may not bring the node back.
         let heard: HashMap<u32, Mark> = plan.heard.iter().copied().collect();
--- a/crates/plan/src/io/follow.rs
+++ b/crates/plan/src/io/follow.rs
@@ -96,7 +96,8 @@
         match word {
             Word::Up(writer) => {
                 let has = follower.version();
-                let _ = writer.try_send(Asked::Hello { name: following.name.clone(), has });
+                let nodes = follower.slice().and_then(|slice| u32::try_from(slice.size()).ok());
+                let _ = writer.try_send(Asked::Hello { name: following.name.clone(), has, nodes });
                 writers[planner] = Some(writer);
             }
             Word::Unreadable => follower.unreadable(),
--- a/crates/plan/src/io/planner.rs
+++ b/crates/plan/src/io/planner.rs
@@ -1,10 +1,10 @@
 //! A planner's side of the connections.
 
 use super::frame;
-use super::security::{Part, Security, Stream};
+use super::security::{self, Security, Stream};
 use crate::wire::WireError;
 use crate::wire::{MOST_ASKED, read_asked, write_told};
-use crate::{Asked, Digest, Loads, MOST_COUNTED, Plan, Publisher, Told, Version};
+use crate::{Asked, Digest, Loads, MOST_COUNTED, Part, Plan, Publisher, Slice, Told, Version};
 use std::io;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -25,10 +25,17 @@
 /// For how long the planner may vouch now for what it tells.
 pub type Lease = dyn Fn() -> Duration + Send + Sync;
 
+/// What all followers are told.
+struct News {
+    /// It is of a plan: those who use a part of it are told what changes of that.
+    plan: bool,
+    frame: Vec<u8>,
+}
+
 /// Tells followers of plans.
 pub struct Planner {
     publisher: Mutex<Publisher>,
-    news: broadcast::Sender<Arc<Vec<u8>>>,
+    news: broadcast::Sender<Arc<News>>,
     lease: Box<Lease>,
     highest: Mutex<Version>,
     loads: Mutex<Loads>,
@@ -39,6 +46,21 @@
     refused: AtomicU64,
 }
 
+/// A frame to one follower, or to all of them.
+enum Framed {
+    Own(Vec<u8>),
+    Shared(Arc<News>),
+}
+
+impl Framed {
+    fn bytes(&self) -> &[u8] {
+        match self {
+            Self::Own(frame) => frame,
+            Self::Shared(news) => &news.frame,
+        }
+    }
+}
+
 /// Gives a place back when a connection ends.
 struct Place<'a>(&'a Planner, u64);
 
@@ -94,7 +116,8 @@
 
     fn tell(&self, told: impl IntoIterator<Item = Told>) {
         for told in told {
-            let _ = self.news.send(Arc::new(write_told(&told))); // nobody may be there
+            let plan = matches!(told, Told::Full(_) | Told::Delta(_));
+            let _ = self.news.send(Arc::new(News { plan, frame: write_told(&told) })); // nobody may be there
         }
     }
 
@@ -129,7 +152,7 @@
                         let number = this.connections.fetch_add(1, Ordering::Relaxed);
                         let _place = Place(&this, number);
                         let let_in = async {
-                            let stream = security.accept(stream, Part::Forwarder).await?;
+                            let stream = security.accept(stream, security::Part::Forwarder).await?;
                             this.follower(number, stream).await
                         };
                         if let Err(error) = let_in.await
@@ -158,16 +181,17 @@
             Err(error) => Err(io::Error::new(io::ErrorKind::InvalidData, error.to_string())),
         };
         let first = asked(&frame::read(&mut reader, MOST_ASKED, HELLO_WITHIN).await?)?;
-        let Some(Asked::Hello { has, .. }) = first else {
+        let Some(Asked::Hello { has, name, nodes }) = first else {
             return Err(io::Error::new(io::ErrorKind::InvalidData, "expected a hello first"));
         };
         if let Some(has) = has {
             let mut highest = self.highest.lock().unwrap_or_else(PoisonError::into_inner);
             *highest = has.max(*highest);
         }
-        let (mut news, behind) = {
+        let slice = nodes.map(|nodes| Slice::new(&name, usize::try_from(nodes).unwrap_or(usize::MAX)));
+        let (mut news, (mut part, behind)) = {
             let publisher = self.publisher();
-            (self.news.subscribe(), publisher.catch_up(has, self.start.elapsed()))
+            (self.news.subscribe(), publisher.welcome(slice, has, self.start.elapsed()))
         };
         for told in behind {
             frame::write(&mut writer, &write_told(&told)).await?;
@@ -192,9 +216,16 @@
                     // What is new goes out before any word that vouches for what is known.
                     biased;
                     told = news.recv() => match told {
-                        Ok(frame) => frame,
+                        Ok(news) if news.plan && !part.is_whole() => {
+                            let told = self.publisher().change(&mut part, self.start.elapsed());
+                            match told {
+                                Some(told) => Framed::Own(write_told(&told)),
+                                None => continue,
+                            }
+                        }
+                        Ok(news) => Framed::Shared(news),
                         Err(broadcast::error::RecvError::Lagged(_)) => {
-                            self.all(&mut writer).await?;
+                            self.all(&mut part, &mut writer).await?;
                             continue;
                         }
                         Err(broadcast::error::RecvError::Closed) => return Ok(()),
@@ -207,15 +238,15 @@
                                 // News of this very moment: the follower is to ask again.
                                 publisher.beat(number, if news.is_empty() { lease } else { 0 })
                             };
-                            Arc::new(write_told(&told))
+                            Framed::Own(write_told(&told))
                         }
                         Some(Ok(Some(Asked::Resend))) => {
-                            self.all(&mut writer).await?;
+                            self.all(&mut part, &mut writer).await?;
                             continue;
                         }
                         Some(Ok(None)) => continue,
-                        Some(Ok(Some(Asked::Digest(digest)))) => match self.digest(number, digest) {
-                            Some(budgets) => Arc::new(write_told(&budgets)),
+                        Some(Ok(Some(Asked::Digest(digest)))) => match self.digest(number, &part, digest) {
+                            Some(budgets) => Framed::Own(write_told(&budgets)),
                             None => continue,
                         },
                         Some(Ok(Some(Asked::Hello { .. }))) => {
@@ -225,7 +256,7 @@
                         None => return Ok(()),
                     },
                 };
-                frame::write(&mut writer, &frame).await?;
+                frame::write(&mut writer, frame.bytes()).await?;
             }
         };
         // Neither is polled again once the other has ended: the connection goes with both.
@@ -249,7 +280,7 @@
     }
 
     /// Takes in a digest, and says what cold nodes may be sent for it, if there are any.
-    fn digest(&self, number: u64, digest: Digest) -> Option<Told> {
+    fn digest(&self, number: u64, part: &Part, digest: Digest) -> Option<Told> {
         let now = self.start.elapsed();
         let publisher = self.publisher();
         let mut loads = self.loads();
@@ -260,13 +291,14 @@
         }
         let serving = publisher.plan().nodes.iter().filter(|n| !n.draining).map(|n| n.weight).sum::<f64>();
         let warm = serving - cold.iter().map(|n| n.weight).sum::<f64>();
-        let usual = cold.iter().map(|n| (n.id.clone(), loads.usual(number, n, warm, now)));
-        Some(Told::Budgets(usual.collect()))
+        let its = cold.iter().filter(|n| part.has(&n.id));
+        let usual: Vec<_> = its.map(|n| (n.id.clone(), loads.usual(number, n, warm, now))).collect();
+        (!usual.is_empty()).then_some(Told::Budgets(usual))
     }
 
     /// All that holds.
-    async fn all(&self, writer: &mut (impl AsyncWrite + Unpin)) -> io::Result<()> {
-        let told = self.publisher().catch_up(None, self.start.elapsed());
+    async fn all(&self, part: &mut Part, writer: &mut (impl AsyncWrite + Unpin)) -> io::Result<()> {
+        let told = self.publisher().again(part, self.start.elapsed());
         for told in told {
             frame::write(writer, &write_told(&told)).await?;
         }
--- a/crates/plan/src/lib.rs
+++ b/crates/plan/src/lib.rs
@@ -1,8 +1,8 @@
 //! Plans: which nodes a forwarder may use, as planners tell it.
 //!
-//! A planner watches the membership of the fleet and hands every forwarder the same plan; which node
-//! a request goes to stays with the forwarder's own decision module, which takes the plan as its
-//! list. [`Follower`] and [`Standby`] are the forwarder's side, [`Announcer`] and [`Publisher`] the
+//! A planner watches the membership of the fleet and hands every forwarder the same plan, or that part
+//! of it which is the forwarder's ([`Slice`]); which node a request goes to stays with the forwarder's own
+//! decision module, which takes it as its list. [`Follower`] and [`Standby`] are the forwarder's side, [`Announcer`] and [`Publisher`] the
 //! planner's; all are state machines without I/O or clock. [`wire`] turns what they say to each other into bytes and back,
 //! and [`io`] carries these over TCP.
 //!
@@ -20,13 +20,15 @@
 pub mod io;
 mod loads;
 mod publisher;
+mod slice;
 mod standby;
 pub mod wire;
 
 pub use announcer::Announcer;
 pub use follower::{Follower, Heard, Refused, State};
 pub use loads::Loads;
-pub use publisher::Publisher;
+pub use publisher::{Part, Publisher};
+pub use slice::{Cells, Slice};
 pub use standby::{Rules, Standby};
 
 use serde::{Deserialize, Serialize};
@@ -163,6 +165,8 @@
         name: String,
         /// Its plan, if it has one.
         has: Option<Version>,
+        /// How many nodes it wants of a plan: its [`Slice`]. None: the whole.
+        nodes: Option<u32>,
     },
     /// May I go on?
     Beat {
--- a/crates/plan/src/publisher.rs
+++ b/crates/plan/src/publisher.rs
@@ -1,7 +1,7 @@
 //! What a planner tells followers: the plan that holds, the drains that no plan has heard of yet, and
 //! what brings a follower up to both.
 
-use crate::{Delta, MOST_NODES, Mark, Node, Plan, Told, Version};
+use crate::{Cells, Delta, MOST_NODES, Mark, Node, Plan, Slice, Told, Version};
 use std::collections::{HashMap, VecDeque};
 use std::time::Duration;
 
@@ -11,10 +11,45 @@
 /// A node that started longer ago than this is not cold by any setting.
 const OLD: Duration = Duration::from_secs(600);
 
+/// What of the plan one follower has been told, so that it is told no more than what changes of it. Of
+/// one that uses the whole nothing is kept; of a part that part, which is its bound.
+#[derive(Debug, Default)]
+pub struct Part {
+    slice: Option<Slice>,
+    version: Version,
+    nodes: Vec<Node>,
+}
+
+impl Part {
+    /// It uses the whole plan.
+    pub fn is_whole(&self) -> bool {
+        self.slice.is_none()
+    }
+
+    /// That node is in what it uses.
+    pub fn has(&self, id: &str) -> bool {
+        self.is_whole() || self.nodes.binary_search_by(|n| n.id.as_str().cmp(id)).is_ok()
+    }
+}
+
+fn drain((planner, mark, id): &(u32, Mark, String)) -> Told {
+    Told::Drain { planner: *planner, mark: *mark, id: id.clone() }
+}
+
+/// What is new or differs in a list that is sorted by id, and what is gone from it.
+fn changes(old: &[Node], new: &[Node]) -> (Vec<Node>, Vec<String>) {
+    let known = |nodes: &[Node], id: &str| nodes.binary_search_by(|n| n.id.as_str().cmp(id)).ok();
+    let set = new.iter().filter(|n| known(old, &n.id).map(|at| &old[at]) != Some(n)).cloned().collect();
+    let gone = old.iter().filter(|n| known(new, &n.id).is_none()).map(|n| n.id.clone()).collect();
+    (set, gone)
+}
+
 /// A plan and what led to it.
 #[derive(Debug, Default)]
 pub struct Publisher {
     plan: Plan,
+    /// Its nodes by cell, for those who use a part of it.
+    cells: Cells,
     /// The changes that led to it, the last one at the end.
     changes: VecDeque<Delta>,
     /// Drains that the plan has not heard of.
@@ -65,14 +100,10 @@
             let known = old.get(id).filter(stays).and_then(|_| self.born.get(*id));
             born.insert(id.to_string(), known.copied().unwrap_or(now.saturating_sub(age)));
         }
-        let set: Vec<Node> =
-            plan.nodes.iter().filter(|n| old.get(n.id.as_str()) != Some(n)).cloned().collect();
-        let mut gone: Vec<String> =
-            old.keys().filter(|id| !new.contains_key(*id)).map(|id| id.to_string()).collect();
-        gone.sort();
-        let (from, to) = (self.plan.version, plan.version);
-        let delta = Delta { from, to, set, gone, heard: plan.heard.clone() };
-        (self.plan, self.born) = (plan, born);
+        let from = self.plan.version;
+        let (set, gone) = changes(&self.plan.nodes, &plan.nodes);
+        let delta = Delta { from, to: plan.version, set, gone, heard: plan.heard.clone() };
+        (self.cells, self.plan, self.born) = (Cells::new(&plan.nodes), plan, born);
         if from.generation == 0 {
             return Some(self.aged(Told::Full(self.plan.clone()), now));
         }
@@ -113,15 +144,75 @@
                 None => told.push(Told::Full(self.plan.clone())),
             }
         }
-        let drain = |(planner, mark, id): &(u32, Mark, String)| Told::Drain {
-            planner: *planner,
-            mark: *mark,
-            id: id.clone(),
-        };
         told.extend(self.unheard.iter().map(drain));
         told.into_iter().map(|told| self.aged(told, now)).collect()
     }
 
+    /// A follower comes that uses that part, or the whole, and has that version. Returns what is kept of
+    /// it, and what it is to be told.
+    pub fn welcome(&self, slice: Option<Slice>, has: Option<Version>, now: Duration) -> (Part, Vec<Told>) {
+        let mut part = Part { slice, ..Part::default() };
+        if slice.is_none() {
+            return (part, self.catch_up(has, now));
+        }
+        if self.plan.version.generation > 0 && has == Some(self.plan.version) {
+            // Its part of that version is what anybody comes to.
+            (part.version, part.nodes) = (self.plan.version, self.cut(&part));
+            return (part, self.unheard.iter().map(drain).collect());
+        }
+        let told = self.again(&mut part, now);
+        (part, told)
+    }
+
+    /// All that holds, for a follower that can't fit a change, or is too far behind.
+    pub fn again(&self, part: &mut Part, now: Duration) -> Vec<Told> {
+        if part.slice.is_none() {
+            return self.catch_up(None, now);
+        }
+        let drains = self.unheard.iter().map(drain);
+        if self.plan.version.generation == 0 {
+            return drains.collect();
+        }
+        part.version = self.plan.version;
+        part.nodes = self.cut(part);
+        let plan = Plan { nodes: part.nodes.clone(), ..self.head() };
+        std::iter::once(self.aged(Told::Full(plan), now)).chain(drains).collect()
+    }
+
+    /// What a follower is to be told where all are told this.
+    pub fn tell(&self, part: &mut Part, told: &Told, now: Duration) -> Option<Told> {
+        let of_plan = matches!(told, Told::Full(_) | Told::Delta(_));
+        if part.is_whole() || !of_plan { Some(told.clone()) } else { self.change(part, now) }
+    }
+
+    /// What brings a follower of a part to the plan that holds, over all that came between. None where
+    /// it was told of that already.
+    pub fn change(&self, part: &mut Part, now: Duration) -> Option<Told> {
+        let from = part.version;
+        if from >= self.plan.version {
+            return None;
+        }
+        let nodes = self.cut(part);
+        let (set, gone) = changes(&part.nodes, &nodes);
+        (part.version, part.nodes) = (self.plan.version, nodes);
+        let Plan { version: to, heard, .. } = self.head();
+        let told = match from.generation {
+            0 => Told::Full(Plan { version: to, nodes: part.nodes.clone(), heard }),
+            _ => Told::Delta(Delta { from, to, set, gone, heard }),
+        };
+        Some(self.aged(told, now))
+    }
+
+    /// The plan without its nodes.
+    fn head(&self) -> Plan {
+        Plan { version: self.plan.version, nodes: Vec::new(), heard: self.plan.heard.clone() }
+    }
+
+    fn cut(&self, part: &Part) -> Vec<Node> {
+        let Some(slice) = part.slice else { return self.plan.nodes.clone() };
+        slice.of(&self.plan.nodes, &self.cells).into_iter().cloned().collect()
+    }
+
     /// The answer to a beat.
     pub fn beat(&self, number: u64, lease_ms: u64) -> Told {
         Told::Beat { number, version: self.plan.version, lease_ms }
--- a/crates/plan/src/standby.rs
+++ b/crates/plan/src/standby.rs
@@ -55,12 +55,13 @@
 pub struct Standby {
     rules: Rules,
     phase: Phase,
-    /// The last list of its own watch.
+    /// The last list of its own watch; of a forwarder that uses a part of the fleet that part.
     own: Vec<Node>,
     /// What that watch has shown draining or gone since it took over: it may bring it back.
     shown: HashSet<String>,
-    /// Drains of its own watch that hold on after the planners are back, and until when.
-    kept: (HashSet<String>, Duration),
+    /// What its own watch had serving when the planners came back: nothing else is until then, as the
+    /// planners may have heard less, and a part may come to name what it did not.
+    kept: Option<(HashSet<String>, Duration)>,
     failed: bool,
     /// When the last look of its own watch began that found nothing newer, and how often it was asked to
     /// look since.
@@ -76,7 +77,7 @@
             phase: Phase::Planned,
             own: Vec::new(),
             shown: HashSet::new(),
-            kept: (HashSet::new(), Duration::ZERO),
+            kept: None,
             failed: false,
             looked: Duration::ZERO,
             unlooked: 0,
@@ -86,9 +87,9 @@
     /// Takes in how things stand at `now`; to be called after all that the follower hears or asks.
     /// `lot` is drawn anew for each call, from 0 to 1. True where the nodes to go by may have changed.
     pub fn see(&mut self, follower: &Follower, now: Duration, lot: f64) -> bool {
-        let kept = !self.kept.0.is_empty() && now >= self.kept.1;
+        let kept = self.kept.as_ref().is_some_and(|(_, until)| now >= *until);
         if kept {
-            self.kept.0.clear();
+            self.kept = None;
         }
         let before = self.phase;
         self.phase = match before {
@@ -102,7 +103,7 @@
                 Phase::Asked { from }
             }
             Phase::Own if follower.steady() >= BACK_AFTER && now < follower.until() => {
-                self.back(follower, now);
+                self.back(now);
                 Phase::Planned
             }
             same => same,
@@ -120,8 +121,9 @@
         self.phase == Phase::Own
     }
 
-    /// Its own watch brings a list. True where the nodes to go by have changed.
-    pub fn own(&mut self, follower: &Follower, list: Vec<Node>) -> bool {
+    /// Its own watch brings a list, of the whole fleet. True where the nodes to go by have changed. Of a
+    /// follower that keeps a part the same part is kept, so that nothing moves where both sources agree.
+    pub fn own(&mut self, follower: &Follower, mut list: Vec<Node>) -> bool {
         if !self.watches() {
             return false; // the planners were quicker
         }
@@ -132,6 +134,12 @@
         let listed: HashSet<&String> =
             list.iter().chain(follower.planned()).map(|n| &n.id).chain(follower.drained()).collect();
         self.shown.retain(|id| listed.contains(id));
+        if let Some(slice) = follower.slice() {
+            // What is held drained needs somebody to stand in for it, too.
+            let drained = self.held(follower);
+            list.iter_mut().for_each(|n| n.draining |= drained.contains(&n.id));
+            list = slice.cut(list);
+        }
         self.own = list;
         self.phase = Phase::Own;
         true
@@ -154,24 +162,28 @@
         }
     }
 
-    fn back(&mut self, follower: &Follower, now: Duration) {
-        let own: HashSet<&String> = self.own.iter().filter(|n| !n.draining).map(|n| &n.id).collect();
-        let ended = follower.planned().iter().map(|n| &n.id).filter(|id| !own.contains(id));
-        self.kept = (ended.cloned().collect(), now + KEPT);
-        self.own.clear();
+    fn back(&mut self, now: Duration) {
+        let serving = std::mem::take(&mut self.own).into_iter().filter(|n| !n.draining).map(|n| n.id);
+        self.kept = Some((serving.collect(), now + KEPT));
         self.shown.clear();
     }
 
     /// The nodes to go by.
     pub fn nodes(&self, follower: &Follower) -> Vec<Node> {
         if self.phase != Phase::Own {
-            let kept = |n: Node| Node { draining: n.draining || self.kept.0.contains(&n.id), ..n };
+            let waits = |id: &String| self.kept.as_ref().is_some_and(|(serving, _)| !serving.contains(id));
+            let kept = |n: Node| Node { draining: n.draining || waits(&n.id), ..n };
             return follower.nodes().into_iter().map(kept).collect();
         }
+        let held = self.held(follower);
+        self.own.iter().map(|n| Node { draining: n.draining || held.contains(&n.id), ..n.clone() }).collect()
+    }
+
+    /// What is known to drain by planners, and its own watch has not shown so.
+    fn held(&self, follower: &Follower) -> HashSet<String> {
         let planned = follower.planned().iter().filter(|n| n.draining).map(|n| &n.id);
-        let drained: HashSet<&String> = planned.chain(follower.drained()).collect();
-        let held = |id: &String| drained.contains(id) && !self.shown.contains(id);
-        self.own.iter().map(|n| Node { draining: n.draining || held(&n.id), ..n.clone() }).collect()
+        let drained = planned.chain(follower.drained()).filter(|id| !self.shown.contains(*id));
+        drained.cloned().collect()
     }
 
     /// Until when something new may be sent by them at all. None: for good, or for as long as nobody
--- a/crates/plan/src/wire.rs
+++ b/crates/plan/src/wire.rs
@@ -177,6 +177,9 @@
     name: String,
     #[prost(message, optional, tag = "2")]
     has: Option<RawVersion>,
+    /// How many nodes it wants; 0 for the whole plan.
+    #[prost(uint32, tag = "3")]
+    nodes: u32,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -309,7 +312,8 @@
     match (raw.hello, raw.beat, raw.resend, raw.digest) {
         (Some(hello), None, false, None) => {
             let has = hello.has.map(|has| version(Some(has))).transpose()?;
-            Ok(Asked::Hello { name: name("name", hello.name, 1)?, has })
+            let nodes = (hello.nodes > 0).then_some(hello.nodes);
+            Ok(Asked::Hello { name: name("name", hello.name, 1)?, has, nodes })
         }
         (None, Some(number), false, None) => Ok(Asked::Beat { number }),
         (None, None, true, None) => Ok(Asked::Resend),
@@ -387,8 +391,9 @@
 pub fn write_asked(asked: &Asked) -> Vec<u8> {
     let mut raw = RawAsked { protocol: PROTOCOL, hello: None, beat: None, resend: false, digest: None };
     match asked {
-        Asked::Hello { name, has } => {
-            raw.hello = Some(RawHello { name: name.clone(), has: has.map(raw_version) });
+        Asked::Hello { name, has, nodes } => {
+            let (name, has) = (name.clone(), has.map(raw_version));
+            raw.hello = Some(RawHello { name, has, nodes: nodes.unwrap_or(0) });
         }
         Asked::Beat { number } => raw.beat = Some(*number),
         Asked::Resend => raw.resend = true,
--- a/crates/plan/tests/hostile.rs
+++ b/crates/plan/tests/hostile.rs
@@ -38,7 +38,7 @@
 }
 
 fn hello() -> Vec<u8> {
-    write_asked(&Asked::Hello { name: "f".into(), has: None })
+    write_asked(&Asked::Hello { name: "f".into(), has: None, nodes: None })
 }
 
 /// What a follower has, as another thread sees it.
@@ -257,8 +257,8 @@
     wait_for("three that can't be read", || forwarder.refused(Refused::Unreadable) == 3);
     let asked = planner.join().unwrap();
     let version = Version { term: 1, generation: 5 };
-    assert_eq!(asked[0], Asked::Hello { name: "good".into(), has: None });
-    let again = Asked::Hello { name: "good".into(), has: Some(version) };
+    assert_eq!(asked[0], Asked::Hello { name: "good".into(), has: None, nodes: None });
+    let again = Asked::Hello { name: "good".into(), has: Some(version), nodes: None };
     assert!(asked[1..].iter().all(|a| *a == again), "{asked:?}");
     let has = forwarder.has();
     assert_eq!(
--- /dev/null
+++ b/crates/plan/tests/memory.rs
@@ -0,0 +1,47 @@
+//! What a forwarder keeps of a plan grows with its part of the fleet, not with the fleet.
+
+#[path = "../../inventory/tests/common/counting.rs"]
+mod counting;
+
+use dewpier_plan::{Follower, Node, Plan, Slice, Told, Version};
+
+fn plan(nodes: usize) -> Plan {
+    let node = |i: usize| Node {
+        id: format!("pricing-{i:05}.example.org"),
+        address: ([10, 0, (i / 250) as u8, (i % 250) as u8], 80).into(),
+        zone: "a".into(),
+        cell: (i / 4) as u32,
+        weight: 1.0,
+        draining: false,
+        age_ms: None,
+    };
+    Plan {
+        version: Version { term: 1, generation: 1 },
+        nodes: (0..nodes).map(node).collect(),
+        heard: Vec::new(),
+    }
+}
+
+#[global_allocator]
+static COUNTING: counting::Counting = counting::Counting;
+
+/// What a follower holds once it has such a plan.
+fn held(slice: Option<Slice>, nodes: usize) -> usize {
+    let now = || counting::NOW.load(std::sync::atomic::Ordering::Relaxed);
+    let before = now();
+    let mut follower = Follower::of(slice);
+    follower.hear(0, Told::Full(plan(nodes)));
+    let held = now() - before;
+    assert_eq!(follower.planned().len(), slice.map_or(nodes, |s| s.size()));
+    held
+}
+
+// One test alone: what runs beside it would be counted.
+#[test]
+fn a_part_of_a_fleet_twenty_times_as_large_takes_no_more() {
+    let part = Some(Slice::new("f", 64));
+    let [small, large] = [1000, 20_000].map(|nodes| held(part, nodes));
+    println!("64 nodes of 1,000: {small} bytes; of 20,000: {large}; all of 20,000: {}", held(None, 20_000));
+    assert!(large < small + small / 4 && large < 32_000, "{small} and {large}");
+    assert!(held(None, 20_000) > 100 * large, "it does measure");
+}
--- a/src/serve/config.rs
+++ b/src/serve/config.rs
@@ -6,7 +6,7 @@
 use dewpier_inventory::reload::Rules;
 use dewpier_inventory::{Encoding, Format, Options};
 use dewpier_plan::io::Files;
-use dewpier_plan::{MOST_NAME, MOST_PLANNERS};
+use dewpier_plan::{MOST_NAME, MOST_NODES, MOST_PLANNERS};
 use hyper::Method;
 use serde::Deserialize;
 use std::net::SocketAddr;
@@ -78,6 +78,8 @@
     pub name: String,
     /// How often each is asked.
     pub beat: Duration,
+    /// How many nodes it uses; none for all.
+    pub nodes: Option<usize>,
     /// What the forwarder watches itself while all planners are silent.
     pub own: Option<Inventory>,
     /// The longest wait before it does.
@@ -169,6 +171,7 @@
     addresses: Spanned<Vec<Spanned<String>>>,
     name: Spanned<String>,
     beat_ms: Option<Spanned<i64>>,
+    nodes: Option<Spanned<i64>>,
     own_watch_spread_ms: Option<Spanned<i64>>,
     #[serde(default)]
     plaintext: bool,
@@ -525,10 +528,12 @@
         return wrong(raw.name.span(), "name", "1 to 253 bytes without control characters", name.len());
     }
     let tls = secured(&raw.tls, raw.plaintext, raw.addresses.span(), path)?;
+    let nodes = whole(&raw.nodes, "nodes", [1, MOST_NODES as i64], 1)?;
     Ok(Planners {
         addresses: listed.iter().map(|a| reached(a, "addresses", &tls)).collect::<Result<_, _>>()?,
         name: name.clone(),
         beat: millis(&raw.beat_ms, "beat_ms", [10, 5000], 100)?,
+        nodes: raw.nodes.as_ref().and_then(|_| usize::try_from(nodes).ok()),
         own,
         spread: millis(&raw.own_watch_spread_ms, "own_watch_spread_ms", [0, 60_000], 100)?,
         tls,
--- a/src/serve/planned.rs
+++ b/src/serve/planned.rs
@@ -7,7 +7,7 @@
 use super::status::{self, Shown, ShownNode};
 use crate::engine::Lease;
 use dewpier_plan::io::{Files, Following, Security, Seen, follow};
-use dewpier_plan::{Digest, Follower, Node, Rules, Standby};
+use dewpier_plan::{Digest, Follower, Node, Rules, Slice, Standby};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::collections::hash_map::RandomState;
@@ -163,8 +163,9 @@
 
 /// Follows planners for good, and turns to the own watch where that is needed.
 pub(super) async fn run(planners: Planners, security: Security, ends: Ends, lent: Rc<Lent>, start: Instant) {
-    let Planners { addresses, name, beat, own, spread, .. } = planners;
-    let follower = Rc::new(RefCell::new(Follower::default()));
+    let Planners { addresses, name, beat, nodes, own, spread, .. } = planners;
+    let slice = nodes.map(|nodes| Slice::new(&name, nodes));
+    let follower = Rc::new(RefCell::new(Follower::of(slice)));
     let rules = Rules { own: own.is_some(), spread };
     let standby = RefCell::new(Standby::new(rules));
     let (told, budgets) = (ends.told, ends.budgets);
--- a/tests/levels/forwarder.rs
+++ b/tests/levels/forwarder.rs
@@ -1,6 +1,6 @@
 //! A forwarder: its cores, its decision module, and what the engine does round it.
 
-use dewpier_plan::{Counts, Digest, Follower, Node, Rules, Standby};
+use dewpier_plan::{Counts, Digest, Follower, Node, Rules, Slice, Standby};
 use gannetproxy::engine::{Listed, News};
 use gannetproxy::serve::lists::backend;
 use gannetproxy::serve::members::Members;
@@ -43,10 +43,10 @@
 }
 
 impl Forwarder {
-    pub fn new(now: u64, seed: u64, settings: Settings) -> Self {
+    pub fn new(now: u64, seed: u64, settings: Settings, slice: Option<Slice>) -> Self {
         let rules = Rules { own: true, spread: Duration::from_millis(100) };
         Self {
-            follower: Follower::default(),
+            follower: Follower::of(slice),
             standby: Standby::new(rules),
             members: Members::new(Vec::new()),
             balancer: Balancer::new(now as f64 / 1e6, seed, settings),
@@ -83,7 +83,7 @@
         self.lease = until.map(|until| start + until.as_micros() as u64);
     }
 
-    fn take(&mut self, now: u64, nodes: &[Node], actions: &mut Vec<Action>) {
+    pub fn take(&mut self, now: u64, nodes: &[Node], actions: &mut Vec<Action>) {
         let list: Vec<_> = nodes.iter().map(backend).collect();
         let pairs: Vec<_> = list.iter().map(|(b, a)| (b, *a)).collect();
         let age = |n: &Node| Some((n.id.clone(), n.age_ms? as f64 / 1000.0));
--- a/tests/levels/main.rs
+++ b/tests/levels/main.rs
@@ -33,6 +33,9 @@
         all.served > 100 * seeds && all.crashes > each && all.pauses > each && all.cuts > each,
         "{all:?}"
     );
-    assert!(all.told > 2 * seeds && all.foundings > each && all.own_watches > each, "{all:?}");
+    assert!(
+        all.told > 2 * seeds && all.foundings > each && all.own_watches > each && all.alone > each,
+        "{all:?}"
+    );
     assert!(all.refused < all.served / 4, "{all:?}");
 }
--- a/tests/levels/planner.rs
+++ b/tests/levels/planner.rs
@@ -2,7 +2,7 @@
 
 use dewpier_cluster::fleet::{Command, Fleet};
 use dewpier_cluster::vouch::Vouch;
-use dewpier_plan::{Announcer, Loads, Mark, Node, Publisher, Told};
+use dewpier_plan::{Announcer, Loads, Mark, Node, Part, Publisher, Told};
 use std::collections::{BTreeSet, HashMap};
 use std::time::Duration;
 
@@ -21,6 +21,8 @@
     /// The state of membership that it has seen.
     pub seen: usize,
     pub highest: u64,
+    /// What each forwarder has been told.
+    pub parts: HashMap<usize, Part>,
 }
 
 impl Planner {
@@ -38,6 +40,7 @@
             heard_at: HashMap::new(),
             seen: 0,
             highest: 0,
+            parts: HashMap::new(),
         }
     }
 
@@ -47,7 +50,7 @@
         let mark = self.announcer.mark();
         let mut drains = Vec::new();
         let command = match self.fleet.mark(me) {
-            _ if mark.sequence == 0 => None,
+            _ if mark.sequence == 0 || self.vouch.withheld() => None,
             Some(agreed) if agreed == mark => None,
             Some(agreed) if agreed.epoch == mark.epoch => {
                 let listed = self.fleet.listed(me).expect("it has a mark");
@@ -74,7 +77,9 @@
         let cold: Vec<&Node> = self.publisher.cold(Duration::from_secs(60), now).collect();
         let serving: f64 = self.publisher.plan().nodes.iter().filter(|n| !n.draining).map(|n| n.weight).sum();
         let warm = serving - cold.iter().map(|n| n.weight).sum::<f64>();
-        let usual = cold.iter().map(|n| (n.id.clone(), self.loads.usual(forwarder, n, warm, now)));
-        (!cold.is_empty()).then(|| Told::Budgets(usual.collect()))
+        let part = self.parts.get(&(forwarder as usize));
+        let its = cold.iter().filter(|n| part.is_some_and(|part| part.has(&n.id)));
+        let usual: Vec<_> = its.map(|n| (n.id.clone(), self.loads.usual(forwarder, n, warm, now))).collect();
+        (!usual.is_empty()).then_some(Told::Budgets(usual))
     }
 }
--- a/tests/levels/world.rs
+++ b/tests/levels/world.rs
@@ -2,8 +2,9 @@
 
 use crate::forwarder::{Attempt, Forwarder, Open};
 use crate::planner::Planner;
+use dewpier_cluster::beside::beside;
 use dewpier_cluster::fleet::Command;
-use dewpier_plan::{Asked, Heard, Mark, Node, Told, Version};
+use dewpier_plan::{Asked, Heard, Mark, Node, Slice, Told, Version};
 use dewpier_standins::rng::Rng;
 use gannetproxy::{Action, Class, Effect, Ended, Event, Outcome, Request, RequestId, Settings};
 use std::cmp::Reverse;
@@ -14,6 +15,8 @@
 const PLANNERS: usize = 3;
 const FORWARDERS: usize = 4;
 const NODES: usize = 8;
+/// Nodes of a part.
+const PART: usize = 5;
 /// When nothing new happens any more, and when the last answer must have been given.
 const QUIET: u64 = 6000 * MS;
 const END: u64 = 11_000 * MS;
@@ -34,6 +37,8 @@
     pub told: usize,
     pub foundings: usize,
     pub own_watches: usize,
+    /// Planners who alone had heard something, and died.
+    pub alone: usize,
     /// The largest part of what tips a cold node over that one was sent within a second.
     pub cold: f64,
 }
@@ -49,6 +54,7 @@
         self.told += other.told;
         self.foundings += other.foundings;
         self.own_watches += other.own_watches;
+        self.alone += other.alone;
         self.cold = self.cold.max(other.cold);
     }
 }
@@ -173,6 +179,9 @@
     connections: HashMap<(usize, usize), Connection>,
     cuts: HashMap<(Who, Who), u64>,
     group: Group,
+    /// Planners to whom membership says nothing, and until when; the one who still hears, and for how long.
+    blind: HashMap<Who, u64>,
+    alone: Option<(usize, u64)>,
     /// All states of membership, the last one at the end.
     truth: Vec<[Is; NODES]>,
     /// When each was first seen by a planner, and by anyone.
@@ -188,6 +197,11 @@
     (a.min(b), a.max(b))
 }
 
+/// Every second forwarder uses but a part of the fleet.
+fn slice(me: usize) -> Option<Slice> {
+    (me % 2 == 1).then(|| Slice::new(&format!("f{me}"), PART))
+}
+
 fn settings(me: usize) -> Settings {
     let class = |effect| Class { aim: 0.5, deadline: 1.0, effect, ..Class::default() };
     Settings {
@@ -216,6 +230,8 @@
             connections: HashMap::new(),
             cuts: HashMap::new(),
             group: Group::default(),
+            blind: HashMap::new(),
+            alone: None,
             truth: vec![[Is::Serving; NODES]],
             told: vec![Some(0)],
             seen: vec![Some(0)],
@@ -267,6 +283,10 @@
         self.cuts.get(&pair(a, b)).is_some_and(|until| self.now < *until)
     }
 
+    fn blind(&self, who: Who) -> bool {
+        self.blind.get(&who).is_some_and(|until| self.now < *until)
+    }
+
     fn up(&self, who: Who) -> bool {
         self.processes.get(&who).is_some_and(|p| p.up)
     }
@@ -304,7 +324,8 @@
             Who::P(p) => {
                 // It reads membership before anything else.
                 let mut planner = Planner::new(p as u32, self.now / MS + 1, Duration::from_millis(LEASE));
-                planner.announcer.observe(self.nodes());
+                let drains = planner.announcer.observe(self.nodes());
+                planner.publisher.drains(drains);
                 planner.seen = self.truth.len() - 1;
                 self.planners[p] = Some(planner);
                 self.observed(true);
@@ -313,7 +334,7 @@
             }
             Who::F(f) => {
                 let seed = self.rng.number();
-                self.forwarders[f] = Some(Forwarder::new(self.now, seed, settings(f)));
+                self.forwarders[f] = Some(Forwarder::new(self.now, seed, settings(f), slice(f)));
                 for p in 0..PLANNERS {
                     self.later(who, 0, What::Connect(p));
                 }
@@ -366,7 +387,14 @@
         let forwarder = Who::F(self.rng.below(FORWARDERS));
         let pause = self.now + self.below(50 * MS, 1200 * MS);
         let cut = self.now + self.below(100 * MS, 2000 * MS);
-        match self.rng.below(12) {
+        match self.rng.below(14) {
+            12 | 13 => {
+                // Membership answers one planner only, who dies once it has heard something.
+                let until = self.now + self.below(600 * MS, 2000 * MS);
+                let heard = self.rng.below(PLANNERS);
+                self.blind = (0..PLANNERS).filter(|p| *p != heard).map(|p| (Who::P(p), until)).collect();
+                self.alone = Some((heard, until));
+            }
             0 | 1 if self.up(planner) => self.crash(planner),
             2 => (0..PLANNERS).map(Who::P).for_each(|p| {
                 if self.up(p) {
@@ -507,20 +535,26 @@
         let now = self.since(who);
         let mut planner = self.planners[p].take().expect("it is up");
         match what {
+            What::Notice if self.blind(who) => {
+                let wait = self.blind[&who] - self.now + MS;
+                self.later(who, wait, What::Notice);
+            }
             What::Notice => {
                 let drains = planner.announcer.observe(self.nodes());
                 planner.seen = self.truth.len() - 1;
                 let first = self.told[planner.seen].is_none();
                 self.observed(true);
-                if first && self.rng.below(6) == 0 {
+                let alone = self.alone.is_some_and(|(heard, until)| heard == p && self.now < until);
+                if first && (self.rng.below(6) == 0 || alone) {
                     // It dies with its news untold.
+                    self.tally.alone += usize::from(alone);
                     return self.crash(who);
                 }
                 self.broadcast(p, &mut planner, drains);
             }
             What::Tick => {
                 // Every 25 ms a look where one is wanted, every 50 a question to the others.
-                if planner.vouch.look(now) {
+                if planner.vouch.look(now) && !self.blind(who) {
                     if planner.seen == self.truth.len() - 1 {
                         planner.vouch.looked(now);
                     } else {
@@ -564,19 +598,32 @@
                         planner.applied += 1;
                         let _ = planner.fleet.apply(term, planner.applied as u64, command);
                     }
+                    let Planner { fleet, announcer, vouch, .. } = &mut planner;
+                    let drains = beside(fleet, p as u32, announcer, vouch);
+                    self.broadcast(p, &mut planner, drains);
                     if let Some(told) = planner.publisher.publish(planner.fleet.plan(), now) {
-                        self.tell(p, vec![told]);
+                        for f in 0..FORWARDERS {
+                            let Some(part) = planner.parts.get_mut(&f) else { continue };
+                            let told = planner.publisher.tell(part, &told, now);
+                            told.into_iter().for_each(|told| self.send_down(f, p, told));
+                        }
                     }
                 }
             }
             What::ToPlanner { forwarder: f, connection, asked } => {
                 if self.connections[&(f, p)].number == connection && self.connections[&(f, p)].up {
                     let told = match asked {
-                        Asked::Hello { has, .. } => {
+                        Asked::Hello { has, name, nodes } => {
                             planner.highest = planner.highest.max(has.map_or(0, |v| v.term));
-                            planner.publisher.catch_up(has, now)
+                            let slice = nodes.map(|nodes| Slice::new(&name, nodes as usize));
+                            let (part, told) = planner.publisher.welcome(slice, has, now);
+                            planner.parts.insert(f, part);
+                            told
+                        }
+                        Asked::Resend => {
+                            let part = planner.parts.get_mut(&f).expect("it has said hello");
+                            planner.publisher.again(part, now)
                         }
-                        Asked::Resend => planner.publisher.catch_up(None, now),
                         Asked::Beat { number } => {
                             let lease = planner.vouch.lease(now).as_millis() as u64;
                             vec![planner.publisher.beat(number, lease)]
@@ -788,7 +835,8 @@
                     (connection.number, connection.up) = (connection.number + 1, true);
                     connection.last = [now, now];
                     let has = forwarder.follower.version();
-                    self.send_up(f, p, Asked::Hello { name: format!("f{f}"), has });
+                    let nodes = forwarder.follower.slice().map(|slice| slice.size() as u32);
+                    self.send_up(f, p, Asked::Hello { name: format!("f{f}"), has, nodes });
                 } else {
                     let after = self.below(50 * MS, 200 * MS);
                     self.later(who, after, What::Connect(p));
