Planners under a network that is cut, and forwarders of a part, on real sockets

Need: openraft was tried with planners killed, never cut off. A relay between planners holds bytes back, both ways or only the answers; each planner is cut off in turn while it alone, and the others alone, are told of drains under load. The majority agrees, the one that is cut off does not, no send is late, and all agree once it is mended. Forwarders of a part keep to it over a drain and the loss of all planners, with no more than 64 descriptors.

--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod load;
 pub mod message;
 pub mod played;
+pub mod relay;
 pub mod rng;
 
 use std::sync::mpsc::Receiver;
--- a/tests/planners.rs
+++ b/tests/planners.rs
@@ -6,6 +6,7 @@
 
 use dewpier_standins::backend::Backend;
 use dewpier_standins::load::{Load, Tally};
+use dewpier_standins::relay::Relay;
 use dewpier_standins::wait_for;
 use served::*;
 use std::collections::HashMap;
@@ -33,9 +34,14 @@
     }
 
     fn start(&self, number: usize, file: &Path) -> Served {
-        let talk: Vec<String> = self.talk.iter().map(|a| format!("\"{a}\"")).collect();
+        self.start_by(number, file, &self.talk, 3000)
+    }
+
+    /// One that reaches the others at these addresses, and expels who is silent for so many milliseconds.
+    fn start_by(&self, number: usize, file: &Path, talk: &[SocketAddr], expel_after: u64) -> Served {
+        let talk: Vec<String> = talk.iter().map(|a| format!("\"{a}\"")).collect();
         let settings = format!(
-            "number = {number}\n[cluster]\nplanners = [{}]\nexpel_after_ms = 3000\n",
+            "number = {number}\n[cluster]\nplanners = [{}]\nexpel_after_ms = {expel_after}\n",
             talk.join(", ")
         );
         Served::planner_with(&self.listen[number].to_string(), file, &settings)
@@ -174,6 +180,82 @@
     forwarders.into_iter().chain(planners).for_each(Served::stop);
 }
 
+/// Each planner is cut off from the two others in turn, so that one of them leads; in one round just what
+/// it is answered is held back. A drain that only it is told of meanwhile holds, and so does one that only
+/// the others are told of.
+#[test]
+fn planners_that_the_network_cuts_apart_keep_drains_and_agree_once_it_is_mended() {
+    let backends: Vec<Backend> =
+        (0..8).map(|i| Backend::start(&format!("b{i}"), Duration::from_micros(200))).collect();
+    let good = table(&backends);
+    let files: Vec<_> = (0..3).map(|n| folder(&format!("cut-{n}")).join("nodes.csv")).collect();
+    files.iter().for_each(|file| std::fs::write(file, &good).unwrap());
+    let places = Places::new();
+    // The way from each to each other is one of its own.
+    let ways: Vec<Vec<Relay>> =
+        (0..3).map(|_| (0..3).map(|to| Relay::start(places.talk[to])).collect()).collect();
+    let planners: Vec<Served> = (0..3)
+        .map(|n| {
+            let reached = |to: usize| if to == n { places.talk[n] } else { ways[n][to].address };
+            places.start_by(n, &files[n], &(0..3).map(reached).collect::<Vec<_>>(), 60_000)
+        })
+        .collect();
+    agree(&planners, 0);
+    let forwarders: Vec<Served> = ["f0", "f1"].map(|f| Served::forwarder(f, &places.listen)).into();
+    let loads: Vec<Load> = forwarders.iter().zip(["f0", "f1"]).map(|(f, n)| load(f.address, n)).collect();
+    wait_for("load on all", || backends.iter().all(|b| b.count() > 2));
+    let mut drained_nodes: Vec<(usize, Instant)> = Vec::new();
+    let write = |at: &[usize], drains: &[usize]| {
+        let lines: Vec<usize> = at.iter().map(|n| planners[*n].lines()).collect();
+        at.iter().for_each(|n| replace(&files[*n], drained(&good, drains).as_bytes()));
+        let read = at.iter().zip(&lines).map(|(n, from)| planners[*n].logged(*from, "backends from").0);
+        read.min().unwrap()
+    };
+    for (alone, own_ways) in ways.iter().enumerate() {
+        let others: Vec<usize> = (0..3).filter(|n| *n != alone).collect();
+        let cut = |on: bool| {
+            for other in &others {
+                own_ways[*other].cut(on && alone != 1, on);
+                ways[*other][alone].cut(on && alone != 1, on);
+            }
+        };
+        let before: Vec<usize> = drained_nodes.iter().map(|(node, _)| *node).collect();
+        let with = |node: usize| [&before[..], &[node]].concat();
+        cut(true);
+        std::thread::sleep(Duration::from_millis(400));
+        drained_nodes.push((2 * alone, write(&[alone], &with(2 * alone))));
+        drained_nodes.push((2 * alone + 1, write(&others, &with(2 * alone + 1))));
+        let words = format!("{} of them draining", before.len() + 1);
+        let of = |n: usize| plan(&planners[n]);
+        wait_for("agreement of the others", || {
+            let [one, other] = [of(others[0]), of(others[1])];
+            one == other && one.is_some_and(|p| p.ends_with(&words))
+        });
+        std::thread::sleep(Duration::from_millis(1000));
+        assert_ne!(of(alone), of(others[0]), "{alone} is cut off");
+        for (node, at) in &drained_nodes {
+            assert_eq!(late(&backends[*node], *at), 0, "of {node} while {alone} is cut off");
+        }
+        cut(false);
+        let all: Vec<usize> = drained_nodes.iter().map(|(node, _)| *node).collect();
+        write(&[0, 1, 2], &all);
+        agree(&planners, all.len());
+        for (node, at) in &drained_nodes {
+            assert_eq!(late(&backends[*node], *at), 0, "of {node} after {alone} is back");
+        }
+    }
+    write(&[0, 1, 2], &[]);
+    agree(&planners, 0);
+    let before = backends[0].count();
+    wait_for("those that are back", || backends[0].count() > before + 2);
+    let mut tally = Tally::default();
+    loads.into_iter().for_each(|load| tally.add(load.stop()));
+    assert_eq!((tally.failed, tally.lost), (0, 0), "of {}", tally.all());
+    assert!(tally.served > 500 && tally.refused <= 8, "{} of {} refused", tally.refused, tally.all());
+    orders_ran_once(&backends);
+    forwarders.into_iter().chain(planners).for_each(Served::stop);
+}
+
 #[test]
 fn what_one_planner_alone_was_told_of_holds_until_it_is_expelled() {
     let backends: Vec<Backend> =
@@ -210,6 +292,53 @@
     planners.into_iter().for_each(Served::stop);
 }
 
+/// Forwarders that use a part of the fleet: no more nodes than that hear of them, whichever source tells
+/// them, and a drained member's place is taken.
+#[test]
+fn forwarders_of_a_part_keep_to_it_over_drains_and_the_loss_of_all_planners() {
+    const PART: usize = 6;
+    let backends: Vec<Backend> =
+        (0..24).map(|i| Backend::start(&format!("b{i}"), Duration::from_micros(200))).collect();
+    let file = folder("part").join("nodes.csv");
+    let good = table(&backends);
+    std::fs::write(&file, &good).unwrap();
+    let places = Places::new();
+    let mut planners: Vec<Served> = (0..3).map(|n| places.start(n, &file)).collect();
+    agree(&planners, 0);
+    let settings = format!("nodes = {PART}\n{}", watched(&file));
+    let forwarder = Served::forwarder_with("f0", &places.listen, &settings);
+    let load = load(forwarder.address, "f0");
+    let used = || -> Vec<usize> { (0..24).filter(|i| backends[*i].count() > 0).collect() };
+    wait_for("load", || backends.iter().map(Backend::count).sum::<usize>() > 500);
+    let first = used();
+    assert!((2..=PART).contains(&first.len()), "{first:?}");
+    // One that it uses drains: the next one takes its place.
+    let drains = first[0];
+    let lines: Vec<usize> = planners.iter().map(Served::lines).collect();
+    replace(&file, drained(&good, &[drains]).as_bytes());
+    let told = planners.iter().zip(&lines).map(|(p, from)| p.logged(*from, "backends from").0).min().unwrap();
+    agree(&planners, 1);
+    std::thread::sleep(Duration::from_millis(1000));
+    assert_eq!(late(&backends[drains], told), 0);
+    planners.iter_mut().for_each(kill);
+    forwarder.logged(0, "from its own watch");
+    let before: Vec<usize> = backends.iter().map(Backend::count).collect();
+    wait_for("load by its own watch", || {
+        backends.iter().zip(&before).map(|(b, n)| b.count() - n).sum::<usize>() > 500
+    });
+    assert_eq!(late(&backends[drains], told), 0);
+    let last = used();
+    assert!(last.len() <= PART + 1, "{first:?}, then {last:?}: its own watch has the same part");
+    let descriptors = std::fs::read_dir(format!("/proc/{}/fd", forwarder.child.id())).map(|d| d.count());
+    let descriptors = descriptors.unwrap_or(0); // told where the system tells it
+    assert!(descriptors < 64, "{descriptors} descriptors for {PART} nodes");
+    let tally = load.stop();
+    assert_eq!((tally.failed, tally.lost), (0, 0), "of {}", tally.all());
+    assert!(tally.refused <= 4, "{} of {} refused", tally.refused, tally.all());
+    orders_ran_once(&backends);
+    forwarder.stop();
+}
+
 #[test]
 fn all_forwarders_together_spare_a_node_that_has_just_started() {
     let backends: Vec<Backend> =
