--- a/crates/plan/src/publisher.rs
+++ b/crates/plan/src/publisher.rs
@@ -28,7 +28,7 @@
 
     /// That node is in what it uses.
     pub fn has(&self, id: &str) -> bool {
-        self.is_whole() || self.nodes.binary_search_by(|n| n.id.as_str().cmp(id)).is_ok()
+        self.is_whole() || place(&self.nodes, id).is_some()
     }
 }
 
@@ -36,11 +36,15 @@
     Told::Drain { planner: *planner, mark: *mark, id: id.clone() }
 }
 
+/// Where a list that is sorted by id has it.
+fn place(nodes: &[Node], id: &str) -> Option<usize> {
+    nodes.binary_search_by(|n| n.id.as_str().cmp(id)).ok()
+}
+
 /// What is new or differs in a list that is sorted by id, and what is gone from it.
 fn changes(old: &[Node], new: &[Node]) -> (Vec<Node>, Vec<String>) {
-    let known = |nodes: &[Node], id: &str| nodes.binary_search_by(|n| n.id.as_str().cmp(id)).ok();
-    let set = new.iter().filter(|n| known(old, &n.id).map(|at| &old[at]) != Some(n)).cloned().collect();
-    let gone = old.iter().filter(|n| known(new, &n.id).is_none()).map(|n| n.id.clone()).collect();
+    let set = new.iter().filter(|n| place(old, &n.id).map(|at| &old[at]) != Some(n)).cloned().collect();
+    let gone = old.iter().filter(|n| place(new, &n.id).is_none()).map(|n| n.id.clone()).collect();
     (set, gone)
 }
 
@@ -194,13 +198,20 @@
         }
         let nodes = self.cut(part);
         let (set, gone) = changes(&part.nodes, &nodes);
-        (part.version, part.nodes) = (self.plan.version, nodes);
+        let before = std::mem::replace(&mut part.nodes, nodes);
+        part.version = self.plan.version;
         let Plan { version: to, heard, .. } = self.head();
-        let told = match from.generation {
-            0 => Told::Full(Plan { version: to, nodes: part.nodes.clone(), heard }),
-            _ => Told::Delta(Delta { from, to, set, gone, heard }),
-        };
-        Some(self.aged(told, now))
+        if from.generation == 0 {
+            return Some(self.aged(Told::Full(Plan { version: to, nodes: part.nodes.clone(), heard }), now));
+        }
+        let mut told = self.aged(Told::Delta(Delta { from, to, set, gone, heard }), now);
+        // What comes into a part need not be new to the fleet. What has no age has been known to this planner
+        // for as long as it runs: it is at least as old, and no colder than that.
+        if let Told::Delta(delta) = &mut told {
+            let comes = |n: &&mut Node| n.age_ms.is_none() && place(&before, &n.id).is_none();
+            delta.set.iter_mut().filter(comes).for_each(|n| n.age_ms = u64::try_from(now.as_millis()).ok());
+        }
+        Some(told)
     }
 
     /// The plan without its nodes.
