--- a/src/serve/config.rs
+++ b/src/serve/config.rs
@@ -689,6 +689,11 @@
                 "4:13",
                 "a table 'tls', or plaintext = true on loopback, found neither",
             ),
+            (
+                "listen = \"127.0.0.1:0\"\n[planners]\nname = \"f\"\naddresses = [\"127.0.0.1:1\"]\nplaintext = true\nnodes = 0\n",
+                "6:9",
+                "nodes: expected a whole number from 1 to 20000, found 0",
+            ),
             (&format!("{LEAST}fil = 1\n"), "4:1", "unknown field `fil`"),
             (&format!("{LEAST}max_vanish = 1.5\n"), "4:14", "a number from 0 to 1, found 1.5"),
             (&format!("{LEAST}max_vanish = nan\n"), "4:14", "a number from 0 to 1, found NaN"),
