A client that takes the place of a closed connection is served, not refused

A probe of the client table at each such refusal (226 of them in 62 s): 122 connections of 122, 90 to 109 of them without a request, none marked as closing. So one was closed for the newcomer each time, as it should be, and the newcomer was called one too many, as the closed one was still in the table when it was counted.

Change: connections that are being closed don't count when it is decided who is only refused. They still count as descriptors: the listener now waits while the table is crowded, also where room is being made.

Result: the new test is refused at its first client on the program before, and serves all fifteen now.

--- a/src/proxy/clients.rs
+++ b/src/proxy/clients.rs
@@ -139,9 +139,12 @@
         self.all.borrow().is_empty()
     }
 
-    /// There are more than there is room for.
+    /// There are more than there is room for. Those that are being closed for the sake of newer ones
+    /// don't count: they go as soon as their tasks run, and until then the newer ones would be
+    /// refused although room was made for them.
     pub fn full(&self) -> bool {
-        self.all.borrow().len() > self.most
+        let all = self.all.borrow();
+        all.iter().filter(|c| !c.ending.get()).count() > self.most
     }
 
     /// There is no room for those to be refused either.
--- a/src/proxy/server.rs
+++ b/src/proxy/server.rs
@@ -163,8 +163,11 @@
             };
             // Waits with one in hand: nobody has to go before another has come.
             self.in_hand.set(Some(stream));
-            while !self.clients.make_room() && self.clients.crowded() {
+            // Those that are being closed are descriptors too, until they are gone.
+            self.clients.make_room();
+            while self.clients.crowded() {
                 self.clients.one_left(STEP).await;
+                self.clients.make_room();
             }
             if let Some(stream) = self.in_hand.take() {
                 self.clone().serve(stream, self.clients.admit());
--- a/tests/bad_clients.rs
+++ b/tests/bad_clients.rs
@@ -45,6 +45,24 @@
     drop((asked, mute));
 }
 
+#[test]
+fn who_gets_the_place_of_a_connection_that_never_asked_is_served() {
+    let backend = Played::good("hello");
+    let mut config = config_of(&settings(), &known(&[&backend]));
+    config["limits"]["sockets"] = json!(64); // room for 21 clients
+    let proxy = Proxy::with(&config, quiet().address);
+    let mute: Vec<_> = (0..21).map(|_| proxy.connect()).collect();
+    // Longer than a connection may say nothing while others wait for its place.
+    std::thread::sleep(Duration::from_secs(1));
+    let mut asked = Vec::new();
+    for n in 0..15 {
+        let mut stream = proxy.connect();
+        assert_eq!(ask(&mut stream, &request("look", 9000)).status(), 200, "client {n}");
+        asked.push(stream);
+    }
+    drop(mute);
+}
+
 #[test]
 fn a_connection_with_a_request_in_hand_is_not_closed_to_make_room() {
     let (backend, release) = Played::held("hello");
