Kept connections are used by their odds: the age at which they spoil is learnt

The byte that is held back can't tell, as the other side gives such a connection up only once the whole request has come.

Change: crates/reuse keeps, without I/O, how often kept connections of each age spoil, for each backend and all together, and at which idle time a backend closes; both are forgotten. What must not run twice goes on a new connection where the odds are worse than a handshake's price, anything else where they are four times as bad. The new one takes the place of the oldest. Stand-ins that fail in nine ways, close when idle and swallow what comes late; a shop whose account is exact; five tests on sockets; a benchmark.

--- a/benches/common/parts.rs
+++ b/benches/common/parts.rs
@@ -41,11 +41,22 @@
 /// The program with that command and configuration, on that core, where it says that it is, and how many
 /// lists it has read so far.
 pub fn program(core: usize, command: &str, folder: &Path, text: &str) -> (Part, String, Arc<AtomicUsize>) {
+    program_at(core, env!("CARGO_BIN_EXE_dewpier"), command, folder, text)
+}
+
+/// The same with the program that is there, perhaps an earlier build.
+pub fn program_at(
+    core: usize,
+    built: &str,
+    command: &str,
+    folder: &Path,
+    text: &str,
+) -> (Part, String, Arc<AtomicUsize>) {
     static NEXT: AtomicUsize = AtomicUsize::new(0);
     let path = folder.join(format!("{command}-{}.toml", NEXT.fetch_add(1, Ordering::SeqCst)));
     std::fs::write(&path, text).expect("a configuration");
     let args = [command, "--config", &path.display().to_string()].map(String::from);
-    let mut started = pinned(core, env!("CARGO_BIN_EXE_dewpier"), &args);
+    let mut started = pinned(core, built, &args);
     let mut part = Part(started.stderr(Stdio::piped()).spawn().expect("the program"));
     let log = BufReader::new(part.0.stderr.take().expect("its log"));
     let (told, address) = std::sync::mpsc::channel();
--- /dev/null
+++ b/crates/standins/src/faulty.rs
@@ -0,0 +1,212 @@
+//! Backends that answer at once and fail a part of what they are asked, in every way in which a
+//! connection can fail, drawn from a seed.
+
+use crate::message::{Message, answer, read};
+use crate::rng::Rng;
+use socket2::SockRef;
+use std::collections::HashMap;
+use std::io::{BufReader, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+/// The ways in which a request may fail.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fault {
+    /// The connection is reset while nothing of the request has been read.
+    ResetBefore,
+    /// It is reset once all of it has been read.
+    ResetAfter,
+    /// Half of the answer comes, then the connection ends.
+    Half,
+    /// Nothing comes for [`SILENT`], then the connection ends.
+    Silent,
+    /// The answer is 500.
+    Error,
+    /// The answer is 503, without a word on whether it has run.
+    Busy,
+    /// The right answer comes after [`SLOW`].
+    Slow,
+    /// What comes is no HTTP.
+    Garbage,
+    /// The right answer comes, and the connection is closed behind it without a word.
+    Closed,
+}
+
+/// All of them.
+pub const FAULTS: [Fault; 9] = [
+    Fault::ResetBefore,
+    Fault::ResetAfter,
+    Fault::Half,
+    Fault::Silent,
+    Fault::Error,
+    Fault::Busy,
+    Fault::Slow,
+    Fault::Garbage,
+    Fault::Closed,
+];
+
+/// How long [`Fault::Silent`] lasts.
+pub const SILENT: Duration = Duration::from_secs(4);
+/// How late [`Fault::Slow`] is.
+pub const SLOW: Duration = Duration::from_millis(400);
+
+struct Shared {
+    /// Faults in a million requests.
+    part: AtomicU64,
+    faults: Vec<Fault>,
+    /// Idle times, in microseconds, 0 for none: after the first a connection is closed, after the second
+    /// it is kept, and what comes on it is read and not answered.
+    closes_after: AtomicU64,
+    swallows_after: AtomicU64,
+    rng: Mutex<Rng>,
+    /// Requests that were read whole, and those that were not read.
+    begun: AtomicUsize,
+    unread: AtomicUsize,
+    connected: AtomicUsize,
+    /// How often each order has run, by its header `X-Order`.
+    orders: Mutex<HashMap<String, usize>>,
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// A stand-in that answers each request with its header `X-Id`, or fails it. Its thread ends with
+/// the process.
+pub struct Faulty {
+    /// Where it listens.
+    pub address: SocketAddr,
+    shared: Arc<Shared>,
+}
+
+impl Faulty {
+    /// One that fails this part of its requests, in one of these ways each.
+    pub fn start(seed: u64, part: f64, faults: &[Fault]) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let address = listener.local_addr().expect("an address");
+        let shared = Arc::new(Shared {
+            part: AtomicU64::new(0),
+            faults: faults.to_vec(),
+            closes_after: AtomicU64::new(0),
+            swallows_after: AtomicU64::new(0),
+            rng: Mutex::new(Rng::new(seed)),
+            begun: AtomicUsize::new(0),
+            unread: AtomicUsize::new(0),
+            connected: AtomicUsize::new(0),
+            orders: Mutex::default(),
+        });
+        let faulty = Self { address, shared: shared.clone() };
+        faulty.fails(part);
+        std::thread::spawn(move || {
+            for stream in listener.incoming().map_while(Result::ok) {
+                shared.connected.fetch_add(1, Ordering::SeqCst);
+                let shared = shared.clone();
+                std::thread::spawn(move || serve(stream, &shared));
+            }
+        });
+        faulty
+    }
+
+    /// From now on it fails this part.
+    pub fn fails(&self, part: f64) {
+        self.shared.part.store((part * 1e6) as u64, Ordering::SeqCst);
+    }
+
+    /// From now on it closes a connection that has stood idle for so long.
+    pub fn closes_after(&self, idle: Duration) {
+        self.shared.closes_after.store(idle.as_micros() as u64, Ordering::SeqCst);
+    }
+
+    /// From now on it keeps such a connection open, and resets it without a word and without running
+    /// anything once a whole request has come on it: as does a server, or what stands between, that has
+    /// forgotten the connection.
+    pub fn swallows_after(&self, idle: Duration) {
+        self.shared.swallows_after.store(idle.as_micros() as u64, Ordering::SeqCst);
+    }
+
+    /// How many attempts have reached it, read or not.
+    pub fn attempts(&self) -> usize {
+        self.shared.begun.load(Ordering::SeqCst) + self.shared.unread.load(Ordering::SeqCst)
+    }
+
+    /// How often it was connected to.
+    pub fn connected(&self) -> usize {
+        self.shared.connected.load(Ordering::SeqCst)
+    }
+
+    /// How often each order has run.
+    pub fn orders(&self) -> HashMap<String, usize> {
+        lock(&self.shared.orders).clone()
+    }
+}
+
+impl Shared {
+    fn draw(&self) -> Option<Fault> {
+        let mut rng = lock(&self.rng);
+        let fails = (rng.below(1_000_000) as u64) < self.part.load(Ordering::SeqCst);
+        (fails && !self.faults.is_empty()).then(|| *rng.pick(&self.faults))
+    }
+
+    fn run(&self, message: &Message) {
+        self.begun.fetch_add(1, Ordering::SeqCst);
+        if let Some(order) = message.header("x-order") {
+            *lock(&self.orders).entry(order.to_string()).or_default() += 1;
+        }
+    }
+}
+
+/// Ends a connection so that its other side sees a reset.
+fn reset(stream: &TcpStream) {
+    let _ = SockRef::from(stream).set_linger(Some(Duration::ZERO));
+}
+
+fn serve(stream: TcpStream, shared: &Shared) {
+    let _ = stream.set_nodelay(true);
+    let mut stream = BufReader::new(stream);
+    let mut answered = false;
+    loop {
+        let idle = Instant::now();
+        let after = |limit: &AtomicU64| Duration::from_micros(limit.load(Ordering::SeqCst));
+        let closes = Some(after(&shared.closes_after)).filter(|limit| answered && !limit.is_zero());
+        let _ = stream.get_ref().set_read_timeout(closes);
+        // Something has come, and is not read yet.
+        if !matches!(stream.get_ref().peek(&mut [0]), Ok(1)) {
+            return;
+        }
+        let _ = stream.get_ref().set_read_timeout(None);
+        let swallows = after(&shared.swallows_after);
+        if answered && !swallows.is_zero() && idle.elapsed() > swallows {
+            let _ = read(&mut stream);
+            shared.unread.fetch_add(1, Ordering::SeqCst);
+            return reset(stream.get_ref());
+        }
+        let fault = shared.draw();
+        if fault == Some(Fault::ResetBefore) {
+            shared.unread.fetch_add(1, Ordering::SeqCst);
+            return reset(stream.get_ref());
+        }
+        let Some(message) = read(&mut stream) else { return };
+        shared.run(&message);
+        let right = answer("200 OK", message.header("x-id").unwrap_or_default());
+        let said = match fault {
+            None | Some(Fault::Closed) => right,
+            Some(Fault::ResetBefore | Fault::ResetAfter) => return reset(stream.get_ref()),
+            Some(Fault::Half) => right[..right.len() / 2].to_string(),
+            Some(Fault::Silent) => return std::thread::sleep(SILENT),
+            Some(Fault::Error) => answer("500 Internal Server Error", "error"),
+            Some(Fault::Busy) => answer("503 Service Unavailable", "busy"),
+            Some(Fault::Garbage) => "\u{1}\u{2}nothing of the kind\r\n\r\n".to_string(),
+            Some(Fault::Slow) => {
+                std::thread::sleep(SLOW);
+                right
+            }
+        };
+        let written = stream.get_mut().write_all(said.as_bytes());
+        if written.is_err() || matches!(fault, Some(Fault::Half | Fault::Garbage | Fault::Closed)) {
+            return;
+        }
+        answered = true;
+    }
+}
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -5,11 +5,13 @@
 #![warn(missing_docs)]
 
 pub mod backend;
+pub mod faulty;
 pub mod load;
 pub mod message;
 pub mod played;
 pub mod relay;
 pub mod rng;
+pub mod shop;
 
 use std::sync::mpsc::Receiver;
 use std::time::{Duration, Instant};
--- /dev/null
+++ b/crates/standins/src/shop.rs
@@ -0,0 +1,152 @@
+//! Clients of a shop in a closed loop, half of what they ask safe and half of it orders, and an
+//! exact account of what became of each.
+
+use crate::faulty::Faulty;
+use crate::message::{Message, read};
+use std::collections::HashMap;
+use std::io::{BufReader, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::{Duration, Instant};
+
+/// Longer than any answer may take.
+const PATIENCE: Duration = Duration::from_secs(30);
+
+/// What became of the requests of one method.
+#[derive(Clone, Debug, Default)]
+pub struct Account {
+    /// The right answer came.
+    pub served: u64,
+    /// Answered 429 or 503.
+    pub refused: u64,
+    /// Those of them that said when to come again.
+    pub told_when: u64,
+    /// Answered with another error.
+    pub failed: u64,
+    /// No answer, or half of one.
+    pub lost: u64,
+    /// A good status, and not the right body.
+    pub wrong: u64,
+    /// How long the refused and failed ones waited.
+    pub waited: Vec<Duration>,
+    /// How long the served ones took.
+    pub took: Vec<Duration>,
+}
+
+impl Account {
+    /// All requests.
+    pub fn all(&self) -> u64 {
+        self.served + self.refused + self.failed + self.lost + self.wrong
+    }
+
+    /// The part that was served, from 0 to 1.
+    pub fn part_served(&self) -> f64 {
+        self.served as f64 / self.all().max(1) as f64
+    }
+
+    fn take(&mut self, answer: Option<Message>, id: &str, took: Duration) {
+        let Some(answer) = answer else {
+            self.lost += 1;
+            return;
+        };
+        match answer.status() {
+            200 if answer.body == id.as_bytes() => {
+                self.served += 1;
+                self.took.push(took);
+            }
+            429 | 503 => {
+                self.refused += 1;
+                self.told_when += u64::from(answer.header("retry-after").is_some());
+                self.waited.push(took);
+            }
+            500.. => {
+                self.failed += 1;
+                self.waited.push(took);
+            }
+            _ => self.wrong += 1,
+        }
+    }
+
+    fn add(&mut self, other: Self) {
+        self.served += other.served;
+        self.refused += other.refused;
+        self.told_when += other.told_when;
+        self.failed += other.failed;
+        self.lost += other.lost;
+        self.wrong += other.wrong;
+        self.waited.extend(other.waited);
+        self.took.extend(other.took);
+    }
+}
+
+/// What became of all requests of a play.
+#[derive(Clone, Debug, Default)]
+pub struct Accounts {
+    /// Safe requests.
+    pub safe: Account,
+    /// Orders.
+    pub orders: Account,
+    /// How long the play took.
+    pub span: Duration,
+}
+
+/// So many clients ask for `requests` altogether, every second one an order of its own name, each
+/// client one request after the other. With `pause` they wait so long between two.
+pub fn play(address: SocketAddr, clients: usize, requests: u64, pause: Duration) -> Accounts {
+    let next = AtomicU64::new(0);
+    let start = Instant::now();
+    let client = || {
+        let mut accounts = Accounts::default();
+        let mut kept = None;
+        loop {
+            let number = next.fetch_add(1, Ordering::SeqCst);
+            if number >= requests {
+                return accounts;
+            }
+            let id = format!("n{number}");
+            let text = match number % 2 {
+                0 => format!("GET /quotes HTTP/1.1\r\nHost: shop\r\nX-Id: {id}\r\n\r\n"),
+                _ => format!(
+                    "POST /orders HTTP/1.1\r\nHost: shop\r\nX-Id: {id}\r\nX-Order: {id}\r\nContent-Length: 2\r\n\r\nok"
+                ),
+            };
+            let asked = Instant::now();
+            let answer = kept.take().or_else(|| connect(address)).and_then(|mut stream| {
+                stream.get_mut().write_all(text.as_bytes()).ok()?;
+                let answer = read(&mut stream)?;
+                let closes = answer.header("connection").is_some_and(|c| c == "close");
+                kept = (!closes).then_some(stream);
+                Some(answer)
+            });
+            let account = if number % 2 == 0 { &mut accounts.safe } else { &mut accounts.orders };
+            account.take(answer, &id, asked.elapsed());
+            std::thread::sleep(pause);
+        }
+    };
+    let mut all = Accounts::default();
+    std::thread::scope(|scope| {
+        let started: Vec<_> = (0..clients).map(|_| scope.spawn(client)).collect();
+        for one in started.into_iter().filter_map(|c| c.join().ok()) {
+            all.safe.add(one.safe);
+            all.orders.add(one.orders);
+        }
+    });
+    all.span = start.elapsed();
+    all
+}
+
+fn connect(address: SocketAddr) -> Option<BufReader<TcpStream>> {
+    let stream = TcpStream::connect(address).ok()?;
+    stream.set_nodelay(true).ok()?;
+    stream.set_read_timeout(Some(PATIENCE)).ok()?;
+    Some(BufReader::new(stream))
+}
+
+/// Orders that have run more than once, over all these backends.
+pub fn twice(backends: &[Faulty]) -> Vec<String> {
+    let mut runs: HashMap<String, usize> = HashMap::new();
+    for (order, count) in backends.iter().flat_map(|b| b.orders()) {
+        *runs.entry(order).or_default() += count;
+    }
+    runs.into_iter().filter(|(_, count)| *count > 1).map(|(order, _)| order).collect()
+}
--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -36,7 +36,9 @@
 /// How often it is seen whether it is lent again, in seconds.
 const LOOK: Time = 0.005;
 /// How often idle connections are looked through.
-const SWEEP: Duration = Duration::from_secs(1);
+const SWEEP: Duration = Duration::from_millis(100);
+/// Backends that are gone are forgotten at every such look.
+const FORGET_EVERY: u32 = 10;
 
 /// The final answer to a request.
 pub enum Answer<R> {
@@ -577,15 +579,19 @@
     }
 
     async fn sweep(self: Rc<Self>) {
+        let mut looks: u32 = 0;
         loop {
             tokio::time::sleep(SWEEP).await;
+            looks = looks.wrapping_add(1);
             let mut state = self.state.borrow_mut();
             // Where backends are ever new, the gone ones must not be kept. The map's handle is the
             // last one when no attempt or probe is out.
             let ended = |known: &Known<U>| {
                 Rc::strong_count(&known.endpoint) == 1 && known.gate.forgettable(&self.clock)
             };
-            state.endpoints.retain(|_, known| !ended(known));
+            if looks.is_multiple_of(FORGET_EVERY) {
+                state.endpoints.retain(|_, known| !ended(known));
+            }
             state.endpoints.values().for_each(|known| self.upstream.sweep(&known.endpoint));
         }
     }
--- a/src/engine/upstream.rs
+++ b/src/engine/upstream.rs
@@ -136,7 +136,7 @@
     /// Closes the idle connections, and those in use once they become idle.
     fn release(&self, endpoint: &Self::Endpoint);
 
-    /// Closes connections that are no longer to be used. Called about once a second.
+    /// Closes connections that are no longer to be used. Called about ten times a second.
     fn sweep(&self, endpoint: &Self::Endpoint);
 
     /// No further connection can be opened unless one is closed.
--- a/src/main.rs
+++ b/src/main.rs
@@ -5,7 +5,7 @@
 mod command;
 
 use gannetproxy::engine::Engine;
-use gannetproxy::proxy::backend::{Answers, Http};
+use gannetproxy::proxy::backend::{Answers, Http, Reuse};
 use gannetproxy::proxy::config::{Config, ConfigError, Wins};
 use gannetproxy::proxy::discovery::Discovery;
 use gannetproxy::proxy::limits::{Budget, Caps};
@@ -38,6 +38,7 @@
         connect_timeout: config.wire.connect_timeout,
         idle_close: config.wire.idle_close,
         probe_path: if config.settings.probe_for_reports { "/-/load" } else { "/-/healthy" },
+        reuse: Reuse::new(config.wire.handshake_price),
         answers: Answers::Platform,
     };
     let engine = Engine::start(config.settings.clone(), config.wire.bounds(), config.seed, upstream);
--- a/src/proxy/backend.rs
+++ b/src/proxy/backend.rs
@@ -4,10 +4,11 @@
 use super::headers::end_to_end;
 use super::limits::{Budget, Permit};
 use super::payload::Payload;
-use super::peer::{Peer, Spoilt, connect};
+use super::peer::{HELD, Peer, Spoilt, connect};
 use crate::engine::{Attempt, Done, Upstream};
 use crate::{Outcome, Report};
 use bytes::Bytes;
+use dewpier_reuse::{Odds, Price, Shared, Stake};
 use http_body_util::Full;
 use hyper::header::{CONTENT_TYPE, HeaderMap, HeaderValue};
 use hyper::{Method, Request, StatusCode};
@@ -25,12 +26,45 @@
 /// A connection is used again only so long after its last answer: what a backend writes behind an
 /// answer comes by then, spoils the connection, and is not taken for the answer to what is sent next.
 const SETTLED: Duration = Duration::from_millis(25);
+/// What ends so soon after its last byte went out, and without a word, was written to a connection
+/// that was spoilt before: nothing has begun to work on it, as far as can be told. To that comes the way there and
+/// back, as the connection's making showed it.
+const SWALLOWED: Duration = Duration::from_millis(5);
+
 struct Idle {
     peer: Peer,
     permit: Permit,
     since: Instant,
 }
 
+/// What is known of connections to all backends, and what a new one costs.
+#[derive(Clone)]
+pub struct Reuse {
+    shared: Rc<RefCell<Shared>>,
+    start: Instant,
+    price: Price,
+}
+
+impl Reuse {
+    /// Where a new connection costs so much beyond what it always does, in parts of the worth of an
+    /// average request.
+    pub fn new(price: f64) -> Self {
+        Self { shared: Rc::default(), start: Instant::now(), price: Price::new(price) }
+    }
+
+    fn now(&self) -> f64 {
+        self.start.elapsed().as_secs_f64()
+    }
+}
+
+/// A connection to make an attempt on.
+struct Ready {
+    peer: Peer,
+    permit: Permit,
+    /// How long it had stood idle; none for a new one.
+    idle: Option<Duration>,
+}
+
 /// A backend and its idle connections.
 pub struct Endpoint {
     address: Cell<SocketAddr>,
@@ -40,6 +74,10 @@
     budget: Rc<Budget>,
     connect_timeout: Duration,
     reuse_within: Duration,
+    reuse: Reuse,
+    odds: RefCell<Odds>,
+    /// How long it last took to connect.
+    way: Cell<Duration>,
 }
 
 impl Endpoint {
@@ -53,25 +91,50 @@
     fn sweep(&self) {
         let fresh = |idle: Idle| {
             let Idle { peer, permit, since } = idle;
-            let peer = peer.checked().filter(|_| since.elapsed() < self.reuse_within)?;
-            Some(Idle { peer, permit, since })
+            let Some(peer) = peer.checked() else {
+                self.odds.borrow_mut().closed(self.reuse.now(), since.elapsed().as_secs_f64());
+                return None;
+            };
+            (since.elapsed() < self.reuse_within).then_some(Idle { peer, permit, since })
         };
         let swept = self.idle.take().into_iter().filter_map(fresh).collect();
         self.idle.replace(swept);
     }
 
-    /// An idle connection that has settled, the one used last, or a new one; and whether it is new.
-    async fn peer(&self) -> Option<(Peer, Permit, bool)> {
+    /// Whether one that has stood idle for so long is a better choice than a new one.
+    fn worth_using(&self, idle: Duration, stake: Stake) -> bool {
+        let Reuse { shared, price, .. } = &self.reuse;
+        let (odds, shared) = (self.odds.borrow(), shared.borrow());
+        odds.worth_using(&shared, self.reuse.now(), idle.as_secs_f64(), stake, *price)
+    }
+
+    /// What became of what was written to a connection.
+    fn used(&self, idle: Option<Duration>, swallowed: bool) {
+        let idle = idle.map(|idle| idle.as_secs_f64());
+        let mut shared = self.reuse.shared.borrow_mut();
+        self.odds.borrow_mut().used(&mut shared, self.reuse.now(), idle, swallowed);
+    }
+
+    /// An idle connection that has settled and is worth it, the one used last, or a new one.
+    async fn peer(&self, stake: Stake) -> Option<Ready> {
         loop {
             let mut idle = self.idle.borrow_mut();
             let settled = idle.iter().rposition(|i| i.since.elapsed() >= SETTLED);
-            let Some(Idle { peer, permit, since }) = settled.map(|i| idle.remove(i)) else {
+            let Some(place) = settled else {
                 break;
             };
-            if since.elapsed() < self.reuse_within
+            let stood = idle[place].since.elapsed();
+            if stood < self.reuse_within && !self.worth_using(stood, stake) {
+                // The new one takes the place of the oldest, which is no safer than this: the backend
+                // holds no more of them than before.
+                drop(idle.remove(0));
+                break;
+            }
+            let Idle { peer, permit, .. } = idle.remove(place);
+            if stood < self.reuse_within
                 && let Some(peer) = peer.checked()
             {
-                return Some((peer, permit, false));
+                return Some(Ready { peer, permit, idle: Some(stood) });
             }
         }
         // Where there is no room for one more, a connection that still has to settle goes for it.
@@ -84,8 +147,10 @@
                 (!idle.is_empty()).then(|| idle.remove(0).permit)?
             }
         };
+        let begun = Instant::now();
         let peer = connect(self.address.get(), self.connect_timeout).await.ok()?;
-        Some((peer, permit, true))
+        self.way.set(begun.elapsed());
+        Some(Ready { peer, permit, idle: None })
     }
 }
 
@@ -120,6 +185,8 @@
     pub idle_close: Duration,
     /// The path of a probe.
     pub probe_path: &'static str,
+    /// When a kept connection is used again.
+    pub reuse: Reuse,
     /// What counts as served.
     pub answers: Answers,
 }
@@ -137,6 +204,9 @@
             budget: self.connections.clone(),
             connect_timeout: self.connect_timeout,
             reuse_within: self.idle_close.mul_f64(REUSE_WITHIN),
+            reuse: self.reuse.clone(),
+            odds: RefCell::default(),
+            way: Cell::default(),
         }
     }
 
@@ -178,7 +248,7 @@
         let answers = self.answers;
         async move {
             let request = || payload.request(attempt.until - attempt.clock.now());
-            exchange(&endpoint, &attempt, answers, request).await
+            exchange(&endpoint, &attempt, answers, payload.stake, request).await
         }
     }
 
@@ -192,7 +262,7 @@
                 request
             };
             let within = 4 * endpoint.connect_timeout;
-            let probed = exchange(&endpoint, &attempt, Answers::Platform, request);
+            let probed = exchange(&endpoint, &attempt, Answers::Platform, Stake::Wait, request);
             let late = Done::without_answer(Outcome::Timeout);
             let done = tokio::time::timeout(within, probed).await.unwrap_or(late);
             let body = done.served.as_ref().and_then(|s| report(&s.body));
@@ -205,6 +275,7 @@
     endpoint: &Endpoint,
     attempt: &Attempt,
     answers: Answers,
+    stake: Stake,
     request: impl Fn() -> Request<Full<Bytes>>,
 ) -> Done<Served> {
     let written = &attempt.written;
@@ -212,7 +283,7 @@
     let era = endpoint.era.get();
     let mut again = false;
     let (peer, permit, head, body) = loop {
-        let Some((mut peer, permit, new)) = endpoint.peer().await else {
+        let Some(Ready { mut peer, permit, idle }) = endpoint.peer(stake).await else {
             return Done::without_answer(Outcome::NoConnection);
         };
         // That the whole list is over says nothing against this backend.
@@ -224,15 +295,24 @@
             return Done::without_answer(Outcome::NoConnection);
         }
         written.set(true);
+        let new = idle.is_none();
+        let begun = Instant::now();
         match peer.exchange(request()).await {
-            Ok((head, body)) => break (peer, permit, head, body),
+            Ok((head, body)) => {
+                endpoint.used(idle, false);
+                break (peer, permit, head, body);
+            }
             // One that was kept may have ended meanwhile; a second new one would end again.
             Err(Spoilt::Unsent) if new && again => return Done::without_answer(Outcome::NoConnection),
             Err(Spoilt::Unsent) => {
                 again = again || new;
                 written.set(false);
             }
-            Err(Spoilt::Sent) => return Done::without_answer(Outcome::Reset),
+            Err(Spoilt::Sent) => {
+                let soon = begun.elapsed() < HELD + SWALLOWED + 2 * endpoint.way.get();
+                endpoint.used(idle, soon && !peer.heard());
+                return Done::without_answer(Outcome::Reset);
+            }
         }
     };
     if let Some(peer) = peer.checked()
--- a/src/proxy/config.rs
+++ b/src/proxy/config.rs
@@ -76,6 +76,9 @@
     pub connect_timeout: Duration,
     /// Backends close idle connections after this.
     pub idle_close: Duration,
+    /// What a new connection costs, as a part of the worth of an average request, beyond what it
+    /// always does.
+    pub handshake_price: f64,
     /// Nothing new to a backend this long after the news that it drains or is gone.
     pub drain_grace: Duration,
     /// Requests that may be open at once.
@@ -277,6 +280,7 @@
             zones,
             connect_timeout: span("caps.connect-timeout", raw.caps.connect_timeout)?,
             idle_close: span("caps.idle-close", raw.caps.idle_close)?,
+            handshake_price: raw.costs.handshake,
             drain_grace: span("rules.drain-grace", raw.rules.drain_grace)?,
             max_open: raw.caps.max_open.unwrap_or(usize::MAX),
         };
--- a/src/proxy/payload.rs
+++ b/src/proxy/payload.rs
@@ -2,6 +2,7 @@
 
 use crate::Time;
 use bytes::Bytes;
+use dewpier_reuse::Stake;
 use http_body_util::Full;
 use hyper::header::{HeaderMap, HeaderValue};
 use hyper::{Method, Uri};
@@ -17,6 +18,8 @@
     pub headers: HeaderMap,
     /// Its body.
     pub body: Bytes,
+    /// What a connection loses that swallows it.
+    pub stake: Stake,
 }
 
 impl Payload {
--- a/src/proxy/peer.rs
+++ b/src/proxy/peer.rs
@@ -49,7 +49,7 @@
 /// The last byte of a request is held back for so long. A backend begins a request when its last
 /// byte has come, so what breaks before that has never run and may go elsewhere: guards against
 /// connections that the other side has given up without a word, or resets as it accepts them.
-const HELD: Duration = Duration::from_millis(1);
+pub const HELD: Duration = Duration::from_millis(1);
 
 /// A socket that notes when something came, and holds the last byte back.
 struct Line {
@@ -204,6 +204,11 @@
         }
     }
 
+    /// Something has come of the answer to the last request.
+    pub fn heard(&self) -> bool {
+        self.heard.0.lock().is_ok_and(|heard| heard.is_some())
+    }
+
     /// It, if it can carry another request and the other side has not closed it meanwhile. Waits
     /// for nothing: an answer that has come must not be held up by its connection.
     pub fn checked(mut self) -> Option<Self> {
--- a/src/proxy/request.rs
+++ b/src/proxy/request.rs
@@ -7,6 +7,7 @@
 use super::routes::Routes;
 use crate::{Class, Effect, Request, RequestId, Settings, Time};
 use bytes::{Bytes, BytesMut};
+use dewpier_reuse::Stake;
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 use hyper::header::{HeaderMap, TRANSFER_ENCODING};
@@ -115,7 +116,11 @@
     };
     let room = bodies.take(length).ok_or(Unfit::NoRoom)?;
     let body = tokio::time::timeout_at(until, whole(body, length)).await.map_err(|_| Unfit::Late)??;
-    let payload = Payload { method: head.method, uri: head.uri, headers: onward(head.headers), body };
+    let stake = match settings.classes[request.class].effect {
+        Effect::Unsafe => Stake::Whole,
+        Effect::Safe | Effect::Keyed { .. } => Stake::Wait,
+    };
+    let payload = Payload { method: head.method, uri: head.uri, headers: onward(head.headers), body, stake };
     Ok(Asked { request, txn, payload, room })
 }
 
--- a/src/serve/config.rs
+++ b/src/serve/config.rs
@@ -233,6 +233,7 @@
 struct RawBackends {
     connect_timeout_ms: Option<Spanned<i64>>,
     idle_close_ms: Option<Spanned<i64>>,
+    handshake_price: Option<Spanned<f64>>,
     drain_grace_ms: Option<Spanned<i64>>,
     cold_ms: Option<Spanned<i64>>,
     cold_share: Option<Spanned<f64>>,
@@ -391,6 +392,7 @@
             zones: vec![file.zone.clone()],
             connect_timeout: millis(&backends.connect_timeout_ms, "connect_timeout_ms", [1, 60_000], 1000)?,
             idle_close: millis(&backends.idle_close_ms, "idle_close_ms", [1, HOUR], 30_000)?,
+            handshake_price: number(&backends.handshake_price, "handshake_price", [0.0, 1.0], 0.0)?,
             drain_grace: millis(&backends.drain_grace_ms, "drain_grace_ms", [10, 60_000], grace)?,
             max_open: whole(&limits.max_open, "max_open", [1, 1_000_000], 10_000)? as usize,
         };
--- a/src/serve/run.rs
+++ b/src/serve/run.rs
@@ -7,7 +7,7 @@
 use super::resolve::Resolved;
 use crate::BackendId;
 use crate::engine::{Counts, Engine, News};
-use crate::proxy::backend::{Answers, Http};
+use crate::proxy::backend::{Answers, Http, Reuse};
 use crate::proxy::limits::{Budget, Caps};
 use crate::proxy::request::Dialect;
 use crate::proxy::server::{self, Server};
@@ -80,6 +80,7 @@
         connect_timeout: wire.connect_timeout,
         idle_close: wire.idle_close,
         probe_path: "/-/healthy",
+        reuse: Reuse::new(wire.handshake_price),
         answers: Answers::Plain,
     };
     let listener = server::bind(listen)?;
--- a/tests/growth.rs
+++ b/tests/growth.rs
@@ -6,7 +6,7 @@
 use common::sockets::{LONG, NEXT, Play, Played, heard};
 use common::{Bench, entry, refused, safe, sends};
 use gannetproxy::engine::{Bounds, Engine, Listed, News};
-use gannetproxy::proxy::backend::{Answers, Http};
+use gannetproxy::proxy::backend::{Answers, Http, Reuse};
 use gannetproxy::proxy::limits::Budget;
 use gannetproxy::proxy::payload::Payload;
 use gannetproxy::*;
@@ -30,6 +30,7 @@
             connect_timeout: LONG,
             idle_close: LONG,
             probe_path: "/-/healthy",
+            reuse: Reuse::new(0.0),
             answers: Answers::Platform,
         };
         let bounds = Bounds { drain_grace: Duration::from_millis(100), max_open: 10 };
@@ -40,6 +41,7 @@
             uri: "/api".parse().unwrap(),
             headers: [("host".parse().unwrap(), "app.svc".parse().unwrap())].into_iter().collect(),
             body: "".into(),
+            stake: dewpier_reuse::Stake::Whole,
         };
         let request = Request { budget: 20.0, ..Request::default() };
         let id = NEXT.fetch_add(1, Ordering::SeqCst) as u64;
--- /dev/null
+++ b/tests/kept.rs
@@ -0,0 +1,80 @@
+//! Connections that backends close, reset or forget between two requests: no order runs twice, nothing is
+//! lost, safe requests are served while one backend works, and orders fail only until it is learnt that
+//! kept connections swallow them.
+
+#[path = "common/served.rs"]
+mod served;
+
+use dewpier_standins::faulty::{FAULTS, Fault, Faulty};
+use dewpier_standins::shop::{Accounts, play, twice};
+use served::Served;
+use std::time::Duration;
+
+const CLASSES: &str = "[[class]]\nname = \"quote\"\neffect = \"safe\"\naim_ms = 5000\ndeadline_ms = 20000\nmatch = [{ methods = [\"GET\"] }]\n\
+[[class]]\nname = \"order\"\neffect = \"unsafe\"\naim_ms = 5000\ndeadline_ms = 20000\nmatch = [{ methods = [\"POST\"] }]\n";
+
+fn served(nodes: &[Faulty]) -> Served {
+    let rows: String = nodes.iter().enumerate().map(|(i, n)| format!("node-{i},{}\n", n.address)).collect();
+    Served::start("nodes.csv", format!("id,address\n{rows}").as_bytes(), CLASSES)
+}
+
+/// Plays a shop before these backends, and checks what must hold whatever they do.
+fn shop(nodes: &[Faulty], clients: usize, requests: u64, pause: Duration) -> Accounts {
+    let proxy = served(nodes);
+    let accounts = play(proxy.address, clients, requests, pause);
+    assert_eq!(twice(nodes), Vec::<String>::new());
+    for account in [&accounts.safe, &accounts.orders] {
+        assert_eq!((account.lost, account.wrong), (0, 0), "{account:?}");
+    }
+    accounts
+}
+
+fn sound(seed: u64) -> Faulty {
+    Faulty::start(seed, 0.0, &[])
+}
+
+#[test]
+fn connections_closed_when_idle_cost_nothing() {
+    // Two limits at once, and clients that ask right around the shorter one.
+    let nodes = [sound(1), sound(2)];
+    nodes[0].closes_after(Duration::from_millis(300));
+    nodes[1].closes_after(Duration::from_millis(1000));
+    let accounts = shop(&nodes, 4, 120, Duration::from_millis(290));
+    assert_eq!((accounts.safe.served, accounts.orders.served), (60, 60), "{accounts:?}");
+}
+
+#[test]
+fn connections_closed_behind_each_tenth_answer_cost_nothing() {
+    let nodes = [1, 2].map(|seed| Faulty::start(seed, 0.1, &[Fault::Closed]));
+    let accounts = shop(&nodes, 8, 1000, Duration::from_millis(2));
+    assert_eq!((accounts.safe.served, accounts.orders.served), (500, 500), "{accounts:?}");
+}
+
+#[test]
+fn connections_that_swallow_what_comes_late_are_learnt() {
+    let nodes = [sound(1), sound(2)];
+    nodes.iter().for_each(|n| n.swallows_after(Duration::from_millis(100)));
+    // Each waits longer than a connection is good for.
+    let accounts = shop(&nodes, 2, 160, Duration::from_millis(130));
+    assert_eq!(accounts.safe.served, 80, "{accounts:?}");
+    // Nearly all of them would be lost on kept connections.
+    assert!(accounts.orders.failed <= 16, "{accounts:?}");
+}
+
+#[test]
+fn a_backend_that_resets_one_write_in_ten_fails_no_safe_request() {
+    let nodes = [Faulty::start(1, 0.1, &[Fault::ResetBefore]), sound(2)];
+    let accounts = shop(&nodes, 8, 1000, Duration::from_millis(2));
+    assert_eq!(accounts.safe.served, 500, "{accounts:?}");
+}
+
+#[test]
+fn safe_calls_are_served_between_unlike_nodes() {
+    let part = |i: usize| if i < 3 { 0.25 } else { 0.04 };
+    let nodes: Vec<Faulty> = (0..5).map(|i| Faulty::start(10 + i as u64, part(i), &FAULTS)).collect();
+    let accounts = shop(&nodes, 24, 2000, Duration::ZERO);
+    let unserved = accounts.safe.all() - accounts.safe.served;
+    // Aimed at is one in 200; before, it was one in 30.
+    assert!(unserved <= 15, "{accounts:?}");
+    assert_eq!(accounts.safe.told_when, accounts.safe.refused, "each is told when to come again");
+}
--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -6,7 +6,7 @@
 use common::sockets::*;
 use gannetproxy::Outcome;
 use gannetproxy::engine::{Attempt, Clock, Gate, Upstream};
-use gannetproxy::proxy::backend::{Answers, Http};
+use gannetproxy::proxy::backend::{Answers, Http, Reuse};
 use gannetproxy::proxy::limits::Budget;
 use gannetproxy::proxy::payload::Payload;
 use serde_json::json;
@@ -199,6 +199,7 @@
             connect_timeout: LONG,
             idle_close: LONG,
             probe_path: "/",
+            reuse: Reuse::new(0.0),
             answers: Answers::Platform,
         };
         let gate = std::rc::Rc::new(Gate::default());
@@ -209,6 +210,7 @@
             uri: "/api".parse().unwrap(),
             headers: [("host".parse().unwrap(), "app.svc".parse().unwrap())].into_iter().collect(),
             body: "body".into(),
+            stake: dewpier_reuse::Stake::Whole,
         };
         let attempted = http.attempt(http.endpoint(backend.address).into(), payload.into(), made);
         runtime.block_on(attempted).outcome
