A call that its backend has dropped is repeated, and counts as no load; T1 has a least

Need: behind `dewpier serve`, with three of five nodes failing one call in four and answers within a millisecond, 2.5 % of the GETs were refused after 3.8 s (p50), without Retry-After, while good nodes idled.

Cause: (1) a call that a backend drops while it answers others counted as merely long, at every timer; (2) those calls, the unsafe ones among them, filled up the unanswered, so that p stood at its least; (3) T1-worths of the send rate are under one call where answers take a millisecond.

Change: a call out for eight normal answer times while its backend answers others is lost: it may be repeated, and counts neither as unanswered nor as load. T1 is at least a fortieth of the aim. A call given up late says when to come again, also where a backend worded the answer.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -50,6 +50,16 @@
 const T1_DEVIATIONS: f64 = 4.0;
 /// T1 is at most this part of the time left, so that a repeat can still be answered in it.
 const T1_REACH: f64 = 0.4;
+/// and at least this part of the aim: below that a wait costs nothing that is worth a copy. Guards
+/// against services that answer in a millisecond, where T1-worths of the send rate are under a call, so
+/// that a few calls that hang would cut the chance of all others.
+const T1_LEAST: f64 = 0.025;
+/// A call that is out for so many normal answer times, while its backend has answered others, is lost and
+/// not merely long: it may be repeated, and tells of no load. Guards against calls that a backend has
+/// dropped while it goes on with others: they would wait for all of their time, and the unsafe ones
+/// among them, which nothing can help, would cut the chance of all others. Where no backend answers
+/// none is lost, so that a storm is met as before.
+const LOST: f64 = 8.0;
 /// T1 is spread by this part, lest failed calls of many balancers return on shared beats.
 const T1_SPREAD: f64 = 0.1;
 /// Weight of a sample in the normal answer time of a class, once there are many.
@@ -170,6 +180,8 @@
 struct Backend {
     entry: Entry,
     in_flight: usize,
+    /// Those of them that are lost.
+    lost: usize,
     /// Attempts of calls without a final answer that name it.
     named: usize,
     /// Recent answer time over the normal one of the class; 1 is normal.
@@ -193,6 +205,8 @@
     zone: u32,
     sent: Time,
     outcome: Option<Outcome>,
+    /// It is out, and lost.
+    lost: bool,
 }
 
 impl Attempt {
@@ -226,6 +240,8 @@
     rank: f64,
     /// It was turned away for want of room, and waits to be sent again.
     turned_away: bool,
+    /// All that is out of it is lost.
+    lost: bool,
     /// The one of the two members drawn that was not taken; a repeat goes to it.
     other: Option<usize>,
 }
@@ -278,6 +294,8 @@
     /// Calls that wait for their turn there or in a lane, and those that were turned away.
     held: usize,
     turned_away: usize,
+    /// Calls of which all that is out is lost.
+    lost: usize,
     /// Mean excess of unanswered calls over a while, in roots of the usual number.
     excess: f64,
     excess_at: Time,
@@ -332,6 +350,7 @@
             queue: Vec::new(),
             held: 0,
             turned_away: 0,
+            lost: 0,
             excess: 0.0,
             excess_at: now,
             lanes: HashMap::new(),
@@ -428,6 +447,7 @@
             over,
             rank,
             turned_away: false,
+            lost: false,
             other: None,
         };
         let slot = self.calls.insert(call);
@@ -609,8 +629,17 @@
     /// backends and not of a fleet that has too much to do; those turned away for want of room
     /// count while they wait, copies of a call do not.
     fn crowd(&self) -> f64 {
-        let out = self.sound().map(|b| self.backends[b].in_flight).sum::<usize>() + self.turned_away;
-        out.min(self.by_id.len() - self.held) as f64
+        let out = self
+            .sound()
+            .map(|b| self.backends[b].in_flight.saturating_sub(self.backends[b].lost))
+            .sum::<usize>()
+            + self.turned_away;
+        out.min(self.unanswered()) as f64
+    }
+
+    /// Calls that wait for an answer, but for those that are lost.
+    fn unanswered(&self) -> usize {
+        self.by_id.len() - self.held - self.lost
     }
 
     /// The members that are not far slower than the best.
@@ -623,7 +652,8 @@
     /// T1 lies above the normal answer time and leaves room for a repeat in the time left.
     fn t1(&mut self, class: usize, patience: Time) -> Time {
         let (normal, most) = (&self.normal[class], T1_REACH * patience);
-        let seen = normal.mean + T1_DEVIATIONS * normal.deviation;
+        let least = T1_LEAST * self.settings.classes[class].aim;
+        let seen = (normal.mean + T1_DEVIATIONS * normal.deviation).max(least);
         (if normal.samples > 0.0 { seen.min(most) } else { most }).max(self.settings.quantum)
     }
 
@@ -632,7 +662,7 @@
     /// The paper's p, from the calls unanswered here and the average rate of original sends.
     fn repeat_chance(&mut self, t1: Time) -> f64 {
         self.sent.age(self.now, self.memory);
-        let unanswered = (self.by_id.len() - self.held) as f64;
+        let unanswered = self.unanswered() as f64;
         let min = (self.sent.per_second() * t1).max(FLOOR);
         let max = ALPHA * min;
         let over = ((unanswered - min) / (max - min)).clamp(0.0, 1.0);
@@ -729,7 +759,8 @@
         b.cold.room -= 1.0;
         let (cell, zone, id) = (b.entry.cell, b.entry.zone, b.entry.id);
         let call = &mut self.calls[slot];
-        call.attempts.push(Attempt { backend, cell, zone, sent: now, outcome: None });
+        call.attempts.push(Attempt { backend, cell, zone, sent: now, outcome: None, lost: false });
+        self.lost -= usize::from(std::mem::take(&mut call.lost));
         self.turned_away -= usize::from(std::mem::take(&mut call.turned_away));
         actions.push(Action::Send { id: call.id, backend: id, timeout: until - now });
         self.sends += 1;
@@ -875,6 +906,10 @@
         };
         if let Some(attempt) = self.calls[slot].attempts.get_mut(ended.attempt) {
             attempt.outcome = Some(ended.outcome);
+            self.backends[attempt.backend].lost -= usize::from(std::mem::take(&mut attempt.lost));
+        }
+        if !self.calls[slot].waits() {
+            self.lost -= usize::from(std::mem::take(&mut self.calls[slot].lost));
         }
         if ended.over {
             return self.finish(slot, Some(ended.attempt), actions);
@@ -900,9 +935,9 @@
             Effect::Safe | Effect::Keyed { group: Group::All, .. } => true,
             _ => !call.attempts.iter().any(Attempt::may_have_run),
         };
-        let id = call.id;
+        let (id, t1) = (call.id, call.t1);
         actions.push(match harmless {
-            true => Action::Refuse { id, retry_after: None },
+            true => Action::Refuse { id, retry_after: self.retry_after(t1) },
             false => Action::Fail { id },
         });
         self.finish(slot, None, actions);
@@ -916,6 +951,7 @@
         self.by_id.remove(&call.id);
         for (i, attempt) in call.attempts.iter().enumerate() {
             self.backends[attempt.backend].named -= 1;
+            self.backends[attempt.backend].lost -= usize::from(attempt.lost);
             if self.settings.cancel && attempt.outcome.is_none() && keep != Some(i) {
                 actions.push(Action::Cancel { id: call.id, attempt: i });
             }
@@ -925,6 +961,7 @@
             self.queue.retain(|s| *s != slot);
         }
         self.turned_away -= usize::from(call.turned_away);
+        self.lost -= usize::from(call.lost);
         let Some((key, lane)) = call.lane.and_then(|key| Some((key, self.lanes.get_mut(&key)?))) else {
             return;
         };
@@ -962,12 +999,26 @@
     fn learn_waiting(&mut self, slot: Slot, failed: bool) -> bool {
         let mut alive = false;
         for i in 0..self.calls[slot].attempts.len() {
-            let Attempt { backend, sent, outcome, .. } = self.calls[slot].attempts[i];
-            if outcome.is_none() && self.backends[backend].answered_at > sent {
+            let Attempt { backend, sent, outcome, lost, .. } = self.calls[slot].attempts[i];
+            let class = self.calls[slot].class;
+            if outcome.is_some() {
+                continue;
+            }
+            let answers = self.backends[backend].answered_at > sent;
+            if answers && self.now - sent > LOST * self.normal[class].mean {
+                self.calls[slot].attempts[i].lost = true;
+                self.backends[backend].lost += usize::from(!lost);
+            } else if answers {
                 alive = true;
-            } else if outcome.is_none() {
-                self.learn(backend, self.calls[slot].class, self.now - sent, failed);
+                continue;
             }
+            self.learn(backend, class, self.now - sent, failed);
+        }
+        let call = &mut self.calls[slot];
+        let mut out = call.attempts.iter().filter(|a| a.outcome.is_none()).peekable();
+        if !call.lost && out.peek().is_some() && out.all(|a| a.lost) {
+            call.lost = true;
+            self.lost += 1;
         }
         alive
     }
@@ -1054,6 +1105,7 @@
             let new = Backend {
                 entry: entry.clone(),
                 in_flight: 0,
+                lost: 0,
                 named: 0,
                 slowness: 1.0,
                 slowness_at: self.now,
--- a/src/proxy/server.rs
+++ b/src/proxy/server.rs
@@ -1,6 +1,6 @@
 //! The clients' side: the listener, requests and their answers, readiness and the graceful stop.
 
-use super::backend::Http;
+use super::backend::{Http, Served};
 use super::clients::{self, Client, Clients, Place, Socket};
 use super::config::WireSettings;
 use super::limits::{Budget, Caps, MOST_HEAD};
@@ -82,6 +82,21 @@
     reply
 }
 
+/// What a backend worded.
+fn passed_on(served: Served) -> Reply {
+    let mut reply = Response::new(Full::new(served.body));
+    *reply.status_mut() = served.status;
+    *reply.headers_mut() = served.headers;
+    reply
+}
+
+/// Says when to come again, if that is known.
+fn come_again(reply: &mut Reply, wait: Option<Time>) {
+    if let Some(wait) = wait.and_then(|w| HeaderValue::from_str(&format!("{w:.3}")).ok()) {
+        reply.headers_mut().insert(RETRY_AFTER, wait);
+    }
+}
+
 fn refusal(unfit: &Unfit) -> Reply {
     plain(unfit.status(), format!("{unfit}\n"))
 }
@@ -248,19 +263,17 @@
             Ok(Answer::Failed(Some(served))) if served.status == StatusCode::SERVICE_UNAVAILABLE => {
                 plain(StatusCode::BAD_GATEWAY, served.body)
             }
-            Ok(Answer::Served(served))
-            | Ok(Answer::Refused(_, Some(served)))
-            | Ok(Answer::Failed(Some(served))) => {
-                let mut reply = Response::new(Full::new(served.body));
-                *reply.status_mut() = served.status;
-                *reply.headers_mut() = served.headers;
+            Ok(Answer::Served(served)) | Ok(Answer::Failed(Some(served))) => passed_on(served),
+            Ok(Answer::Refused(wait, Some(served))) => {
+                let mut reply = passed_on(served);
+                if !reply.headers().contains_key(RETRY_AFTER) {
+                    come_again(&mut reply, wait);
+                }
                 reply
             }
             Ok(Answer::Refused(wait, None)) => {
                 let mut reply = plain(StatusCode::SERVICE_UNAVAILABLE, "refused, try again\n");
-                if let Some(wait) = wait.and_then(|w| HeaderValue::from_str(&format!("{w:.3}")).ok()) {
-                    reply.headers_mut().insert(RETRY_AFTER, wait);
-                }
+                come_again(&mut reply, wait);
                 reply
             }
             Ok(Answer::Failed(None)) | Err(_) => plain(StatusCode::BAD_GATEWAY, "failed\n"),
