--- a/crates/standins/src/shop.rs
+++ b/crates/standins/src/shop.rs
@@ -118,7 +118,7 @@
                 kept = (!closes).then_some(stream);
                 Some(answer)
             });
-            let account = if number % 2 == 0 { &mut accounts.safe } else { &mut accounts.orders };
+            let account = if number.is_multiple_of(2) { &mut accounts.safe } else { &mut accounts.orders };
             account.take(answer, &id, asked.elapsed());
             std::thread::sleep(pause);
         }
