--- a/tests/growth.rs
+++ b/tests/growth.rs
@@ -34,7 +34,10 @@
             answers: Answers::Platform,
         };
         let bounds = Bounds { drain_grace: Duration::from_millis(100), max_open: 10 };
-        let engine = Engine::start(safe(), bounds, 1, upstream);
+        // The attempt must be out for longer than it takes to forget the others.
+        let mut settings = safe();
+        (settings.classes[0].aim, settings.classes[0].deadline) = (20.0, 20.0);
+        let engine = Engine::start(settings, bounds, 1, upstream);
         engine.news(News::Full(vec![listed(1, silent.address)]));
         let payload = Payload {
             method: hyper::Method::GET,
