Dropped calls are told by overtaking; the least T1 is taken back

Change: no least T1. A call is dropped once its backend has answered another that was sent eight normal answer times later. On the plain front Retry-After is in whole seconds, as its standard has it.

--- a/crates/standins/src/shop.rs
+++ b/crates/standins/src/shop.rs
@@ -19,7 +19,7 @@
     pub served: u64,
     /// Answered 429 or 503.
     pub refused: u64,
-    /// Those of them that said when to come again.
+    /// Those of them that said after how many seconds to come again.
     pub told_when: u64,
     /// Answered with another error.
     pub failed: u64,
@@ -56,7 +56,8 @@
             }
             429 | 503 => {
                 self.refused += 1;
-                self.told_when += u64::from(answer.header("retry-after").is_some());
+                let seconds = answer.header("retry-after").and_then(|s| s.parse::<u64>().ok());
+                self.told_when += u64::from(seconds.is_some());
                 self.waited.push(took);
             }
             500.. => {
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -50,12 +50,9 @@
 const T1_DEVIATIONS: f64 = 4.0;
 /// T1 is at most this part of the time left, so that a repeat can still be answered in it.
 const T1_REACH: f64 = 0.4;
-/// and at least this part of the aim: below that a wait costs nothing that is worth a copy. Guards
-/// against services that answer in a millisecond, where T1-worths of the send rate are under a call, so
-/// that a few calls that hang would cut the chance of all others.
-const T1_LEAST: f64 = 0.025;
-/// A call that is out for so many normal answer times, while its backend has answered others, is lost and
-/// not merely long: it may be repeated, and tells of no load. Guards against calls that a backend has
+/// A call whose backend has answered another that was sent so many normal answer times later is lost and
+/// not merely long: it may be repeated, and tells of no load. Where a backend has too much to do it answers
+/// in about the order in which it was asked, so that none is overtaken by as much. Guards against calls that a backend has
 /// dropped while it goes on with others: they would wait for all of their time, and the unsafe ones
 /// among them, which nothing can help, would cut the chance of all others. Where no backend answers
 /// none is lost, so that a storm is met as before.
@@ -190,6 +187,8 @@
     /// When an attempt there last failed.
     failed_at: Time,
     answered_at: Time,
+    /// When the latest of those was sent that it has answered.
+    answered_sent: Time,
     /// When it last showed that it works, or was given a call while it had none.
     alive_at: Time,
     /// What may be sent to it while it is cold, in requests.
@@ -652,8 +651,7 @@
     /// T1 lies above the normal answer time and leaves room for a repeat in the time left.
     fn t1(&mut self, class: usize, patience: Time) -> Time {
         let (normal, most) = (&self.normal[class], T1_REACH * patience);
-        let least = T1_LEAST * self.settings.classes[class].aim;
-        let seen = (normal.mean + T1_DEVIATIONS * normal.deviation).max(least);
+        let seen = normal.mean + T1_DEVIATIONS * normal.deviation;
         (if normal.samples > 0.0 { seen.min(most) } else { most }).max(self.settings.quantum)
     }
 
@@ -877,7 +875,9 @@
                 let class = self.calls[slot].class;
                 match ended.outcome {
                     Served => {
-                        self.backends[backend].answered_at = self.now;
+                        let b = &mut self.backends[backend];
+                        b.answered_at = self.now;
+                        b.answered_sent = b.answered_sent.max(self.now - ended.took);
                         self.served.add(self.now, self.memory);
                         self.lately.add(self.now, self.lately_memory());
                         self.learn(backend, class, ended.took, false);
@@ -1005,7 +1005,7 @@
                 continue;
             }
             let answers = self.backends[backend].answered_at > sent;
-            if answers && self.now - sent > LOST * self.normal[class].mean {
+            if self.backends[backend].answered_sent - sent > LOST * self.normal[class].mean {
                 self.calls[slot].attempts[i].lost = true;
                 self.backends[backend].lost += usize::from(!lost);
             } else if answers {
@@ -1111,6 +1111,7 @@
                 slowness_at: self.now,
                 failed_at: f64::NEG_INFINITY,
                 answered_at: f64::NEG_INFINITY,
+                answered_sent: f64::NEG_INFINITY,
                 alive_at: self.now,
                 cold: fresh,
                 service: None,
--- a/src/proxy/server.rs
+++ b/src/proxy/server.rs
@@ -90,9 +90,14 @@
     reply
 }
 
-/// Says when to come again, if that is known.
-fn come_again(reply: &mut Reply, wait: Option<Time>) {
-    if let Some(wait) = wait.and_then(|w| HeaderValue::from_str(&format!("{w:.3}")).ok()) {
+/// Says when to come again, if that is known: on the platform to the millisecond, elsewhere in whole
+/// seconds, which are all that the header may hold (RFC 9110, 10.2.3).
+fn come_again(reply: &mut Reply, wait: Option<Time>, dialect: &Dialect) {
+    let text = |wait: Time| match dialect {
+        Dialect::Platform => format!("{wait:.3}"),
+        Dialect::Plain(_) => format!("{:.0}", wait.ceil().max(1.0)),
+    };
+    if let Some(wait) = wait.and_then(|w| HeaderValue::from_str(&text(w)).ok()) {
         reply.headers_mut().insert(RETRY_AFTER, wait);
     }
 }
@@ -267,13 +272,13 @@
             Ok(Answer::Refused(wait, Some(served))) => {
                 let mut reply = passed_on(served);
                 if !reply.headers().contains_key(RETRY_AFTER) {
-                    come_again(&mut reply, wait);
+                    come_again(&mut reply, wait, &self.dialect);
                 }
                 reply
             }
             Ok(Answer::Refused(wait, None)) => {
                 let mut reply = plain(StatusCode::SERVICE_UNAVAILABLE, "refused, try again\n");
-                come_again(&mut reply, wait);
+                come_again(&mut reply, wait, &self.dialect);
                 reply
             }
             Ok(Answer::Failed(None)) | Err(_) => plain(StatusCode::BAD_GATEWAY, "failed\n"),
