--- a/tests/lost.rs
+++ b/tests/lost.rs
@@ -62,7 +62,9 @@
 fn repeats(overtaken: bool) -> usize {
     let one = |seed| {
         let mut b = learnt(seed);
-        (1000..1006).for_each(|id| drop(ask(&mut b, id, 1)));
+        for id in 1000..1006 {
+            ask(&mut b, id, 1);
+        }
         if overtaken {
             traffic(&mut b, 2000, 0.5);
         } else {
