The bound on drains is a setting, from 100 ms on, and what must fit into it is checked

Need: planners and forwarders kept drains within 500 ms by constants; the second deployment asks for 250.

drain_ms in both files. Leases, beats, graces, spreads and the questions between planners follow from it (crates/plan/src/drains.rs, no I/O); what does not fit is refused at the start with its place and range. A planner's answer says its full lease, so that a forwarder with a shorter bound takes the difference off.

--- a/crates/cluster/src/cluster.rs
+++ b/crates/cluster/src/cluster.rs
@@ -7,7 +7,7 @@
 use crate::raft::{self, Applied, Log, Machine, Network, Raft};
 use crate::vouch::Vouch;
 use dewpier_plan::io::{Part, Planner, Security, frame};
-use dewpier_plan::{Announcer, Mark, Node, Told};
+use dewpier_plan::{Announcer, Mark, Node, Told, asked_every};
 use openraft::{EmptyNode, ServerState};
 use std::collections::hash_map::RandomState;
 use std::collections::{BTreeMap, BTreeSet};
@@ -20,8 +20,6 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Notify, watch};
 
-/// How often each other planner is asked where it stands.
-const ASK_EVERY: Duration = Duration::from_millis(50);
 /// It must answer within this.
 const ANSWER_WITHIN: Duration = Duration::from_millis(500);
 /// A proposal must be agreed within this, or is made anew.
@@ -120,7 +118,7 @@
             let this = this.clone();
             let lease = move || this.upgrade().map_or(Duration::ZERO, |this| this.lease());
             Self {
-                planner: Planner::new(Box::new(lease), settings.most),
+                planner: Planner::new(Box::new(lease), settings.lease, settings.most),
                 settings,
                 start: Instant::now(),
                 known: Mutex::new(known),
@@ -434,7 +432,7 @@
     /// Asks one of them where it stands, for good.
     async fn asks(self: Arc<Self>, other: u32, address: SocketAddr) {
         let mut link = Link::new(address, self.settings.security.clone());
-        let mut every = tokio::time::interval(ASK_EVERY);
+        let mut every = tokio::time::interval(asked_every(self.settings.lease));
         every.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         loop {
             every.tick().await;
--- a/crates/plan/src/follower.rs
+++ b/crates/plan/src/follower.rs
@@ -1,7 +1,7 @@
 //! The forwarder's side: which plan it goes by, which drains it knows ahead of any plan, and how
 //! long it may go by what it has.
 
-use crate::{Asked, Delta, MOST_NODES, MOST_PLANNERS, Mark, Node, Plan, Slice, Told, Version};
+use crate::{Asked, Delta, DrainBound, MOST_NODES, MOST_PLANNERS, Mark, Node, Plan, Slice, Told, Version};
 use std::collections::{HashMap, HashSet, VecDeque};
 use std::time::Duration;
 use thiserror::Error;
@@ -74,6 +74,8 @@
 pub struct Follower {
     /// The part of a plan that it keeps, if not all.
     slice: Option<Slice>,
+    /// The longest lease by which it keeps its bound on drains, if it has one of its own.
+    longest: Option<Duration>,
     plan: Option<Plan>,
     /// Drains that were told ahead of a plan, by node: the news of each planner that no plan has
     /// heard yet.
@@ -99,6 +101,12 @@
         Self { slice, ..Self::default() }
     }
 
+    /// With that bound on drains: a planner that keeps a longer one answers for what it knew longer ago, and
+    /// the difference is taken off its leases.
+    pub fn bounded(self, bound: DrainBound) -> Self {
+        Self { longest: Some(bound.lease()), ..self }
+    }
+
     /// The part of plans that it keeps.
     pub fn slice(&self) -> Option<Slice> {
         self.slice
@@ -199,7 +207,10 @@
             Told::Full(plan) => self.full(plan),
             Told::Delta(delta) => self.delta(delta),
             Told::Drain { planner, mark, id } => self.drain(planner, mark, id),
-            Told::Beat { number, version, lease_ms } => self.beat(planner, number, version, lease_ms),
+            Told::Beat { number, version, lease_ms, full_ms } => {
+                let lease = self.lease(Duration::from_millis(lease_ms), Duration::from_millis(full_ms));
+                self.beat(planner, number, version, lease)
+            }
             Told::Budgets(budgets) => {
                 self.budgets.insert(planner, budgets);
                 Heard::Budgets
@@ -286,7 +297,13 @@
         Heard::Changed
     }
 
-    fn beat(&mut self, planner: usize, number: u64, version: Version, lease_ms: u64) -> Heard {
+    /// What is left here of a lease, where its planner's longest is `full`.
+    fn lease(&self, lease: Duration, full: Duration) -> Duration {
+        let longest = self.longest.unwrap_or(MOST_LEASE);
+        lease.saturating_sub(full.saturating_sub(longest)).min(longest)
+    }
+
+    fn beat(&mut self, planner: usize, number: u64, version: Version, lease: Duration) -> Heard {
         let Some(beats) = self.beats.get_mut(&planner) else {
             return Heard::Refused(Refused::Unasked);
         };
@@ -300,9 +317,9 @@
             has if has < Some(version) => Heard::Ask(Asked::Resend),
             // A planner that is behind has nothing to say of this plan.
             has if has > Some(version) => Heard::Refused(Refused::Old),
-            _ if lease_ms == 0 => Heard::Refused(Refused::NoLease),
+            _ if lease.is_zero() => Heard::Refused(Refused::NoLease),
             _ => {
-                let until = asked + Duration::from_millis(lease_ms).min(MOST_LEASE);
+                let until = asked + lease;
                 self.until = Some(self.until.map_or(until, |known| known.max(until)));
                 self.unanswered = 0;
                 Heard::Noted
--- a/crates/plan/src/io/planner.rs
+++ b/crates/plan/src/io/planner.rs
@@ -75,13 +75,13 @@
 const COLD: Duration = Duration::from_secs(60);
 
 impl Planner {
-    /// A planner that gives the leases that it is told of whenever it is asked for one, to so many
-    /// followers at most; more are not let in.
-    pub fn new(lease: Box<Lease>, most: usize) -> Arc<Self> {
+    /// A planner that gives the leases that it is told of whenever it is asked for one, none of which is
+    /// longer than `full`, to so many followers at most; more are not let in.
+    pub fn new(lease: Box<Lease>, full: Duration, most: usize) -> Arc<Self> {
         let news = broadcast::Sender::new(WAITING);
         let (followers, refused) = (AtomicUsize::new(0), AtomicU64::new(0));
         Arc::new(Self {
-            publisher: Mutex::default(),
+            publisher: Mutex::new(Publisher::lending(full)),
             news,
             lease,
             highest: Mutex::default(),
--- a/crates/plan/src/lib.rs
+++ b/crates/plan/src/lib.rs
@@ -16,6 +16,7 @@
 #![warn(missing_docs)]
 
 mod announcer;
+mod drains;
 mod follower;
 pub mod io;
 mod loads;
@@ -25,6 +26,7 @@
 pub mod wire;
 
 pub use announcer::Announcer;
+pub use drains::{DrainBound, Unkept, asked_every};
 pub use follower::{Follower, Heard, Refused, State};
 pub use loads::Loads;
 pub use publisher::{Part, Publisher};
@@ -151,6 +153,8 @@
         version: Version,
         /// For how long from the question on the follower may go by it.
         lease_ms: u64,
+        /// The longest that this planner gives: what it lacks of that is how old its knowledge may be.
+        full_ms: u64,
     },
     /// What each of these cold nodes would usually be sent by this follower, in requests a second.
     Budgets(Vec<(String, f64)>),
--- a/crates/plan/src/publisher.rs
+++ b/crates/plan/src/publisher.rs
@@ -1,7 +1,7 @@
 //! What a planner tells followers: the plan that holds, the drains that no plan has heard of yet, and
 //! what brings a follower up to both.
 
-use crate::{Cells, Delta, MOST_NODES, Mark, Node, Plan, Slice, Told, Version};
+use crate::{Cells, Delta, DrainBound, MOST_NODES, Mark, Node, Plan, Slice, Told, Version};
 use std::collections::{HashMap, VecDeque};
 use std::time::Duration;
 
@@ -49,8 +49,10 @@
 }
 
 /// A plan and what led to it.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Publisher {
+    /// The longest lease that is given, in milliseconds.
+    full_ms: u64,
     plan: Plan,
     /// Its nodes by cell, for those who use a part of it.
     cells: Cells,
@@ -62,7 +64,26 @@
     born: HashMap<String, Duration>,
 }
 
+impl Default for Publisher {
+    /// With leases for the default bound on drains.
+    fn default() -> Self {
+        Self::lending(DrainBound::default().lease())
+    }
+}
+
 impl Publisher {
+    /// One that gives leases up to that one.
+    pub fn lending(lease: Duration) -> Self {
+        Self {
+            full_ms: u64::try_from(lease.as_millis()).unwrap_or(u64::MAX),
+            plan: Plan::default(),
+            cells: Cells::default(),
+            changes: VecDeque::new(),
+            unheard: Vec::new(),
+            born: HashMap::new(),
+        }
+    }
+
     /// The plan that holds. One of generation 0 is none.
     pub fn plan(&self) -> &Plan {
         &self.plan
@@ -226,6 +247,6 @@
 
     /// The answer to a beat.
     pub fn beat(&self, number: u64, lease_ms: u64) -> Told {
-        Told::Beat { number, version: self.plan.version, lease_ms }
+        Told::Beat { number, version: self.plan.version, lease_ms, full_ms: self.full_ms }
     }
 }
--- a/crates/plan/src/standby.rs
+++ b/crates/plan/src/standby.rs
@@ -25,10 +25,6 @@
 /// plan serves on.
 const LIST_WITHIN: Duration = Duration::from_secs(1);
 
-/// A list of its own watch may be gone by for so long after a look that found nothing newer began: as for
-/// planners' leases, so that a process that stood still sends nothing by what it knew before.
-const OWN_LEASE: Duration = Duration::from_millis(400);
-
 /// How a forwarder behaves when planners are silent.
 #[derive(Clone, Copy, Debug)]
 pub struct Rules {
@@ -36,6 +32,9 @@
     pub own: bool,
     /// The longest wait before it does. With n forwarders membership is asked n times within it.
     pub spread: Duration,
+    /// A list of its own watch may be gone by for so long after a look that found nothing newer began: as for
+    /// planners' leases, so that a process that stood still sends nothing by what it knew before.
+    pub lease: Duration,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -193,7 +192,7 @@
         match self.phase {
             // Its watch was asked time and again and says nothing: what it said last serves on.
             Phase::Own if self.unlooked >= SILENT_AFTER => None,
-            Phase::Own => Some(self.looked + OWN_LEASE),
+            Phase::Own => Some(self.looked + self.rules.lease),
             _ if follower.version().is_none() => Some(Duration::ZERO),
             Phase::Planned if follower.silent() && !self.rules.own => None,
             Phase::Spread { from, .. } | Phase::Asked { from } if !waits(from) => None,
--- a/crates/plan/src/wire.rs
+++ b/crates/plan/src/wire.rs
@@ -16,6 +16,8 @@
 pub const PROTOCOL: u32 = 1;
 /// The longest message of a planner, in bytes.
 pub const MOST_TOLD: usize = 8 << 20;
+/// The longest lease, in milliseconds, of planners that don't say theirs.
+const UNSAID_LEASE: u64 = 400;
 /// The longest message of a follower.
 pub const MOST_ASKED: usize = 32 << 10;
 
@@ -115,6 +117,9 @@
     version: Option<RawVersion>,
     #[prost(uint64, tag = "3")]
     lease_ms: u64,
+    /// None from planners of an older release.
+    #[prost(uint64, tag = "4")]
+    full_ms: u64,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -273,7 +278,9 @@
         }
         (None, None, None, Some(raw)) => budgets(raw),
         (None, None, Some(raw), None) => {
-            Ok(Told::Beat { number: raw.number, version: version(raw.version)?, lease_ms: raw.lease_ms })
+            let full_ms = if raw.full_ms == 0 { UNSAID_LEASE } else { raw.full_ms };
+            let RawBeat { number, lease_ms, .. } = raw;
+            Ok(Told::Beat { number, version: version(raw.version)?, lease_ms, full_ms })
         }
         (None, None, None, None) => Err(WireError::Unknown),
         _ => Err(bad("message", "one thing", "several")),
@@ -375,9 +382,10 @@
         Told::Drain { planner, mark, id } => {
             raw.drain = Some(RawDrain { mark: Some(raw_mark(*planner, *mark)), id: id.clone() });
         }
-        Told::Beat { number, version, lease_ms } => {
+        Told::Beat { number, version, lease_ms, full_ms } => {
             let version = Some(raw_version(*version));
-            raw.beat = Some(RawBeat { number: *number, version, lease_ms: *lease_ms });
+            let (number, lease_ms, full_ms) = (*number, *lease_ms, *full_ms);
+            raw.beat = Some(RawBeat { number, version, lease_ms, full_ms });
         }
         Told::Budgets(budgets) => {
             let nodes = budgets.iter().map(|(id, usual)| RawBudget { id: id.clone(), usual: *usual });
--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -32,7 +32,7 @@
 const GRACE_USED: f64 = 0.5;
 /// While nothing may be sent by the whole list, new requests are held back from the module for so long
 /// at most, in seconds: a source that is to lend its list again does so within this, or not soon.
-const MOST_HELD: Time = 0.5;
+pub const MOST_HELD: Time = 0.5;
 /// How often it is seen whether it is lent again, in seconds.
 const LOOK: Time = 0.005;
 /// How often idle connections are looked through.
--- a/src/serve/config.rs
+++ b/src/serve/config.rs
@@ -1,16 +1,17 @@
 //! The configuration file of our own: TOML, checked whole. No I/O but the reading of the file.
 
+use crate::engine::MOST_HELD;
 use crate::proxy::config::WireSettings;
 use crate::proxy::routes::{Route, Routes};
 use crate::{Class, Effect, Group, Settings};
 use dewpier_inventory::reload::Rules;
 use dewpier_inventory::{Encoding, Format, Options};
 use dewpier_plan::io::Files;
-use dewpier_plan::{MOST_NAME, MOST_NODES, MOST_PLANNERS};
+use dewpier_plan::{DrainBound, MOST_NAME, MOST_NODES, MOST_PLANNERS};
 use hyper::Method;
 use serde::Deserialize;
 use std::net::SocketAddr;
-use std::ops::Range;
+use std::ops::{Range, RangeInclusive};
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 use thiserror::Error;
@@ -76,6 +77,8 @@
     pub addresses: Vec<SocketAddr>,
     /// The forwarder's name.
     pub name: String,
+    /// Within which drains are kept.
+    pub drains: DrainBound,
     /// How often each is asked.
     pub beat: Duration,
     /// How many nodes it uses; none for all.
@@ -97,7 +100,7 @@
     pub listen: SocketAddr,
     /// Its number among the planners.
     pub number: u32,
-    /// For how long a forwarder may go by its word.
+    /// For how long a forwarder may go by its word; within its bound on drains.
     pub lease: Duration,
     /// Forwarders that are let in.
     pub most: usize,
@@ -149,6 +152,7 @@
 struct PlannerFile {
     listen: Spanned<String>,
     number: Option<Spanned<i64>>,
+    drain_ms: Option<Spanned<i64>>,
     lease_ms: Option<Spanned<i64>>,
     max_forwarders: Option<Spanned<i64>>,
     inventory: RawInventory,
@@ -170,6 +174,7 @@
 struct RawPlanners {
     addresses: Spanned<Vec<Spanned<String>>>,
     name: Spanned<String>,
+    drain_ms: Option<Spanned<i64>>,
     beat_ms: Option<Spanned<i64>>,
     nodes: Option<Spanned<i64>>,
     own_watch_spread_ms: Option<Spanned<i64>>,
@@ -337,6 +342,30 @@
 
 const HOUR: i64 = 3_600_000;
 
+/// How long after a planner's word that a node drains something new may be begun there.
+fn drain_bound(value: &Option<Spanned<i64>>) -> Result<DrainBound, Wrong> {
+    let [least, most] = [DrainBound::LEAST, DrainBound::MOST].map(|bound| bound.as_millis() as i64);
+    let default = DrainBound::default().get().as_millis() as i64;
+    let bound = millis(value, "drain_ms", [least, most], default)?;
+    DrainBound::new(bound).or_else(|unkept| wrong(0..0, "drain_ms", "a bound that can be kept", unkept))
+}
+
+/// A time that must lie in what a bound on drains allows.
+fn fitting(
+    value: &Option<Spanned<i64>>,
+    what: &str,
+    drains: DrainBound,
+    range: RangeInclusive<Duration>,
+    default: Duration,
+) -> Result<Duration, Wrong> {
+    let [least, most, default] = [*range.start(), *range.end(), default].map(|time| time.as_millis() as i64);
+    let why = |mut wrong: Wrong| {
+        wrong.message += &format!(", where drain_ms is {}", drains.get().as_millis());
+        wrong
+    };
+    millis(value, what, [least, most], default).map_err(why)
+}
+
 impl Config {
     /// Reads and checks a file.
     pub fn read(path: &Path) -> Result<Self, ConfigError> {
@@ -381,8 +410,14 @@
             }
             (None, None) => return wrong(0..0, "configuration", "[inventory] or [planners]", "neither"),
         };
-        // Of the half second that a drain may take a forwarder hears after planners have.
-        let grace = if file.planners.is_some() { 100 } else { 500 };
+        // A forwarder hears after planners have, and its grace is what their leases leave of the bound.
+        let grace = &backends.drain_grace_ms;
+        let drain_grace = match &source {
+            ListFrom::Planners(Planners { drains, .. }) => {
+                fitting(grace, "drain_grace_ms", *drains, drains.graces(), drains.grace())?
+            }
+            ListFrom::Inventory(_) => millis(grace, "drain_grace_ms", [10, 60_000], 500)?,
+        };
         let instances = whole(&file.instances.number, "number", [1, 100_000], 1)?;
         let me = whole(&file.instances.me, "me", [0, instances - 1], 0)?;
         let seconds = |value: Duration| value.as_secs_f64();
@@ -393,7 +428,7 @@
             connect_timeout: millis(&backends.connect_timeout_ms, "connect_timeout_ms", [1, 60_000], 1000)?,
             idle_close: millis(&backends.idle_close_ms, "idle_close_ms", [1, HOUR], 30_000)?,
             handshake_price: number(&backends.handshake_price, "handshake_price", [0.0, 1.0], 0.0)?,
-            drain_grace: millis(&backends.drain_grace_ms, "drain_grace_ms", [10, 60_000], grace)?,
+            drain_grace,
             max_open: whole(&limits.max_open, "max_open", [1, 1_000_000], 10_000)? as usize,
         };
         let most_wait = millis(&limits.max_retry_after_ms, "max_retry_after_ms", [0, HOUR], 1000)?;
@@ -444,11 +479,12 @@
             }
         }
         let most = planners.len().max(1) as i64 - 1;
+        let drains = drain_bound(&file.drain_ms)?;
         let expel_after = file.cluster.as_ref().and_then(|c| c.expel_after_ms.clone());
         Ok(Self {
             listen: reached(&file.listen, "listen", &tls)?,
             number: whole(&file.number, "number", [0, most], 0)? as u32,
-            lease: millis(&file.lease_ms, "lease_ms", [50, 400], 400)?,
+            lease: fitting(&file.lease_ms, "lease_ms", drains, drains.leases(), drains.lease())?,
             most: whole(&file.max_forwarders, "max_forwarders", [1, 100_000], 1000)? as usize,
             inventory: inventory(&file.inventory, path)?,
             planners,
@@ -531,13 +567,19 @@
     }
     let tls = secured(&raw.tls, raw.plaintext, raw.addresses.span(), path)?;
     let nodes = whole(&raw.nodes, "nodes", [1, MOST_NODES as i64], 1)?;
+    let drains = drain_bound(&raw.drain_ms)?;
+    let beat = fitting(&raw.beat_ms, "beat_ms", drains, drains.beats(), drains.beat())?;
+    let spreads = drains.spreads(beat, Duration::from_secs_f64(MOST_HELD));
+    let spread = drains.left(beat);
+    let spread = fitting(&raw.own_watch_spread_ms, "own_watch_spread_ms", drains, spreads, spread)?;
     Ok(Planners {
         addresses: listed.iter().map(|a| reached(a, "addresses", &tls)).collect::<Result<_, _>>()?,
         name: name.clone(),
-        beat: millis(&raw.beat_ms, "beat_ms", [10, 5000], 100)?,
+        drains,
+        beat,
         nodes: raw.nodes.as_ref().and_then(|_| usize::try_from(nodes).ok()),
         own,
-        spread: millis(&raw.own_watch_spread_ms, "own_watch_spread_ms", [0, 60_000], 100)?,
+        spread,
         tls,
         status: raw.status.as_ref().map(|file| path.parent().unwrap_or(Path::new("")).join(file)),
     })
@@ -642,6 +684,8 @@
 
     const LEAST: &str = "listen = \"127.0.0.1:0\"\n[inventory]\nfile = \"nodes.csv\"\n";
 
+    const FORWARDER: &str = "listen = \"127.0.0.1:0\"\n[planners]\nname = \"f\"\naddresses = [\"127.0.0.1:1\"]\nplaintext = true\n";
+
     fn parse(text: &str) -> Result<Config, String> {
         Config::parse(text, Path::new("/etc/dewpier/dewpier.toml")).map_err(|error| error.to_string())
     }
@@ -661,6 +705,31 @@
         assert_eq!(class(Method::DELETE, "/a"), Some(("default-unsafe", Effect::Unsafe)));
     }
 
+    #[test]
+    fn a_bound_on_drains_sets_what_must_fit_into_it() {
+        let forwarder = |settings: &str| {
+            let config = parse(&format!("{FORWARDER}{settings}")).unwrap();
+            let ListFrom::Planners(planners) = config.source else { panic!("{:?}", config.source) };
+            [planners.drains.get(), planners.beat, planners.spread, config.wire.drain_grace]
+                .map(|t| t.as_millis())
+        };
+        assert_eq!(forwarder(""), [500, 100, 100, 100]);
+        assert_eq!(forwarder("drain_ms = 250\n"), [250, 50, 50, 50]);
+        assert_eq!(forwarder("drain_ms = 100\n"), [100, 20, 20, 20]);
+        let planner = |settings: &str| {
+            let text =
+                format!("listen = \"127.0.0.1:0\"\nplaintext = true\n{settings}[inventory]\nfile = \"a\"\n");
+            let config = super::parse(&text, Path::new("/p.toml"), PlannerConfig::check);
+            config.map(|c| c.lease.as_millis()).map_err(|error| error.to_string())
+        };
+        assert_eq!(["", "drain_ms = 250\n", "drain_ms = 100\n"].map(planner), [Ok(400), Ok(200), Ok(80)]);
+        let told = planner("drain_ms = 250\nlease_ms = 201\n").unwrap_err();
+        assert_eq!(
+            told,
+            "/p.toml:4:12: lease_ms: expected a whole number from 50 to 200, found 201, where drain_ms is 250"
+        );
+    }
+
     #[test]
     fn the_checked_example_is_good() {
         let example = concat!(env!("CARGO_MANIFEST_DIR"), "/deploy/dewpier.toml");
@@ -696,6 +765,26 @@
                 "6:9",
                 "nodes: expected a whole number from 1 to 20000, found 0",
             ),
+            (
+                &format!("{FORWARDER}drain_ms = 99\n"),
+                "6:12",
+                "drain_ms: expected a whole number from 100 to 2000, found 99",
+            ),
+            (
+                &format!("{FORWARDER}drain_ms = 250\nbeat_ms = 67\n"),
+                "7:11",
+                "beat_ms: expected a whole number from 10 to 66, found 67, where drain_ms is 250",
+            ),
+            (
+                &format!("{FORWARDER}drain_ms = 250\nown_watch_spread_ms = 600\n"),
+                "7:23",
+                "own_watch_spread_ms: expected a whole number from 0 to 550, found 600, where drain_ms is 250",
+            ),
+            (
+                &format!("{FORWARDER}[backends]\ndrain_grace_ms = 101\n"),
+                "7:18",
+                "drain_grace_ms: expected a whole number from 10 to 100, found 101, where drain_ms is 500",
+            ),
             (&format!("{LEAST}fil = 1\n"), "4:1", "unknown field `fil`"),
             (&format!("{LEAST}max_vanish = 1.5\n"), "4:14", "a number from 0 to 1, found 1.5"),
             (&format!("{LEAST}max_vanish = nan\n"), "4:14", "a number from 0 to 1, found NaN"),
--- a/src/serve/planned.rs
+++ b/src/serve/planned.rs
@@ -7,7 +7,7 @@
 use super::status::{self, Shown, ShownNode};
 use crate::engine::Lease;
 use dewpier_plan::io::{Files, Following, Security, Seen, follow};
-use dewpier_plan::{Digest, Follower, Node, Rules, Slice, Standby};
+use dewpier_plan::{Digest, Follower, Node, Rules, Slice, Standby, asked_every};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::collections::hash_map::RandomState;
@@ -20,9 +20,6 @@
 /// How often it is seen whether to turn to another source, while that is on the way.
 const LOOK: Duration = Duration::from_millis(5);
 
-/// How often its own watch is asked to look.
-const LOOK_EVERY: Duration = Duration::from_millis(50);
-
 /// A lease that is lent only for a list that has been taken: a list that waits to be taken may name a
 /// drain.
 pub(super) struct Lent {
@@ -163,10 +160,11 @@
 
 /// Follows planners for good, and turns to the own watch where that is needed.
 pub(super) async fn run(planners: Planners, security: Security, ends: Ends, lent: Rc<Lent>, start: Instant) {
-    let Planners { addresses, name, beat, nodes, own, spread, .. } = planners;
+    let Planners { addresses, name, drains, beat, nodes, own, spread, .. } = planners;
     let slice = nodes.map(|nodes| Slice::new(&name, nodes));
-    let follower = Rc::new(RefCell::new(Follower::of(slice)));
-    let rules = Rules { own: own.is_some(), spread };
+    let follower = Rc::new(RefCell::new(Follower::of(slice).bounded(drains)));
+    let rules = Rules { own: own.is_some(), spread, lease: drains.lease() };
+    let look_every = asked_every(rules.lease);
     let standby = RefCell::new(Standby::new(rules));
     let (told, budgets) = (ends.told, ends.budgets);
     let (since, own_name) = (Cell::new(None), name.clone());
@@ -184,7 +182,7 @@
         tokio::select! {
             () = &mut followed => return,
             () = tokio::time::sleep(look) => {
-                if let Some(lists) = watch.as_ref().filter(|_| looked.elapsed() >= LOOK_EVERY) {
+                if let Some(lists) = watch.as_ref().filter(|_| looked.elapsed() >= look_every) {
                     looked = Instant::now();
                     sides.look(lists);
                 }
--- a/src/serve/planner.rs
+++ b/src/serve/planner.rs
@@ -6,16 +6,16 @@
 use super::run::ServeError;
 use crate::proxy::server;
 use dewpier_cluster::{Cluster, Settings};
-use std::time::Duration;
 use tokio::signal::unix::{SignalKind, signal};
 
-/// How often it is seen whether the inventory is to be looked at.
-const LOOK: Duration = Duration::from_millis(25);
+/// How often it is seen whether the inventory is to be looked at: so many times in a lease.
+const LOOKS: u32 = 16;
 
 /// Plans until SIGTERM. SIGHUP has the inventory read at once.
 pub async fn until_signals(config: PlannerConfig) -> Result<(), ServeError> {
     let mut hangup = signal(SignalKind::hangup())?;
     let mut terminate = signal(SignalKind::terminate())?;
+    let lease = config.lease;
     let mut lists = Lists::of_inventory(config.inventory)?;
     let first = lists.first().await?;
     let security = super::planned::security(config.tls)?;
@@ -28,7 +28,7 @@
     let cluster = Cluster::new(Settings {
         number: config.number,
         planners: (0..).zip(planners).collect(),
-        lease: config.lease,
+        lease,
         expel_after: config.expel_after,
         most: config.most,
         security: security.clone(),
@@ -41,7 +41,7 @@
     eprintln!("dewpier: planning on {address}");
     tokio::spawn(cluster.planner().clone().serve(listener, security.clone()));
     tokio::spawn(cluster.clone().run(talk));
-    let mut look = tokio::time::interval(LOOK);
+    let mut look = tokio::time::interval(lease / LOOKS);
     look.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     let mut fleet = cluster.fleet();
     loop {
