--- a/crates/reuse/src/odds.rs
+++ b/crates/reuse/src/odds.rs
@@ -8,10 +8,11 @@
 pub const AGES: [Time; 9] = [0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 12.8];
 const BINS: usize = AGES.len() + 1;
 
-/// What is believed of connections of which nothing is known: one in 500 is spoilt,
-const PRIOR: f64 = 0.002;
-/// as if that had been seen so many times.
-const PRIOR_USES: f64 = 25.0;
+/// What is believed of connections of which nothing is known: one in 200 is spoilt,
+const PRIOR: f64 = 0.005;
+/// as if that had been seen so many times. Few, so that the first one that is lost tells: each proxy learns by
+/// losing what it must not lose, and where many learn beside each other a stubborn belief is paid for by each.
+const PRIOR_USES: f64 = 5.0;
 /// What all backends show counts for each one as so many uses of its own.
 const SHARED_USES: f64 = 10.0;
 /// From this part of the time on at which a backend closes, what is written may cross that.
@@ -66,8 +67,8 @@
 
 impl Odds {
     /// A request went out on a connection that had stood idle for so long (none: a new one), and
-    /// was swallowed or not. Only what costs something counts: where it is known that the request
-    /// has not run, nothing is lost.
+    /// was spoilt or not: swallowed, or broken before its last byte. The latter costs nothing, and tells that
+    /// the other side gives up connections of that age.
     pub fn used(&mut self, shared: &mut Shared, now: Time, idle: Option<Time>, spoilt: bool) {
         let Some(idle) = idle else {
             return shared.new.add(now, spoilt);
--- a/src/proxy/backend.rs
+++ b/src/proxy/backend.rs
@@ -109,10 +109,10 @@
     }
 
     /// What became of what was written to a connection.
-    fn used(&self, idle: Option<Duration>, swallowed: bool) {
+    fn used(&self, idle: Option<Duration>, spoilt: bool) {
         let idle = idle.map(|idle| idle.as_secs_f64());
         let mut shared = self.reuse.shared.borrow_mut();
-        self.odds.borrow_mut().used(&mut shared, self.reuse.now(), idle, swallowed);
+        self.odds.borrow_mut().used(&mut shared, self.reuse.now(), idle, spoilt);
     }
 
     /// An idle connection that has settled and is worth it, the one used last, or a new one.
@@ -305,6 +305,9 @@
             // One that was kept may have ended meanwhile; a second new one would end again.
             Err(Spoilt::Unsent) if new && again => return Done::without_answer(Outcome::NoConnection),
             Err(Spoilt::Unsent) => {
+                if idle.is_some() {
+                    endpoint.used(idle, true);
+                }
                 again = again || new;
                 written.set(false);
             }
