A proxy that stops serves for as long as what comes can still be answered

Now src/proxy/stopping.rs (no I/O) remembers how long answers took of late (hdrhistogram, two of fixed size) and serves until 95 of 100 would no longer be done in what is left, between 0.5 and 0.8 of the time to SIGKILL.

--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -12,3 +12,4 @@
 pub mod request;
 pub mod routes;
 pub mod server;
+mod stopping;
--- a/src/proxy/server.rs
+++ b/src/proxy/server.rs
@@ -5,6 +5,7 @@
 use super::config::WireSettings;
 use super::limits::{Budget, Caps, MOST_HEAD};
 use super::request::{self, Asked, Dialect, Unfit};
+use super::stopping::Stopping;
 use crate::engine::{Answer, Engine};
 use crate::{RequestId, Settings, Time};
 use bytes::Bytes;
@@ -15,7 +16,7 @@
 use hyper::service::service_fn;
 use hyper::{Response, StatusCode};
 use hyper_util::rt::TokioIo;
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::convert::Infallible;
 use std::io;
 use std::rc::Rc;
@@ -24,17 +25,6 @@
 use tokio::sync::watch;
 use tokio::time::Instant;
 
-/// SIGKILL follows SIGTERM after the longest deadline, or this if that is less,
-const LONGEST: Duration = Duration::from_secs(3);
-/// and so much more.
-const MORE: Duration = Duration::from_millis(700);
-/// What is taken after SIGTERM is answered so long before SIGKILL.
-const SPARE: Duration = Duration::from_millis(200);
-/// Part of the time from SIGTERM to SIGKILL in which clients are served as ever, on connections
-/// that they have and on new ones. Guards against a time with no proxy at all: in a rolling
-/// restart the front may not have taken in the one before yet. It could do harm where the time to
-/// SIGKILL is much shorter than the operators state, as what is taken late is then lost.
-const LINGER: f64 = 0.5;
 /// So many steps without a request in hand, after that, and connections are no longer waited for.
 const IDLE_STEPS: usize = 10;
 const STEP: Duration = Duration::from_millis(50);
@@ -49,8 +39,11 @@
     settings: Settings,
     wire: WireSettings,
     dialect: Dialect,
+    start: Instant,
     /// When SIGTERM came, if it has.
     stopping: Cell<Option<Instant>>,
+    /// How the time from there on is divided.
+    stop: RefCell<Stopping>,
     /// Idle connections are to be closed.
     closing: watch::Sender<bool>,
     clients: Rc<Clients>,
@@ -115,12 +108,15 @@
         dialect: Dialect,
         caps: Caps,
     ) -> Rc<Self> {
+        let longest = settings.classes.iter().map(|c| c.deadline).fold(0.0, Time::max);
         Rc::new(Self {
             engine,
             settings,
             wire,
             dialect,
+            start: Instant::now(),
             stopping: Cell::new(None),
+            stop: RefCell::new(Stopping::new(longest)),
             closing: watch::Sender::new(false),
             clients: Clients::new(caps.clients),
             in_hand: Cell::new(None),
@@ -128,19 +124,14 @@
         })
     }
 
-    /// From SIGTERM to SIGKILL.
-    fn notice(&self) -> Duration {
-        let longest = self.settings.classes.iter().map(|c| c.deadline).fold(0.0, Time::max);
-        Duration::try_from_secs_f64(longest).map_or(LONGEST, |longest| longest.min(LONGEST)) + MORE
-    }
-
     /// Serves until `stop`, then goes on for a while, answers all that was taken, and returns.
     pub async fn run(self: Rc<Self>, listener: TcpListener, stop: impl Future<Output = ()>) {
         let accepting = self.clone().accept(&listener);
         let stopped = async {
             stop.await;
             self.stopping.set(Some(Instant::now()));
-            tokio::time::sleep(self.notice().mul_f64(LINGER)).await;
+            let serves = self.stop.borrow().serves();
+            tokio::time::sleep(serves).await;
         };
         tokio::select! {
             () = accepting => {}
@@ -253,15 +244,19 @@
             return plain(StatusCode::SERVICE_UNAVAILABLE, "too many connections\n");
         }
         if let Some(stopping) = self.stopping.get() {
-            let left = (stopping + self.notice() - SPARE).saturating_duration_since(Instant::now());
+            let left = self.stop.borrow().left(stopping.elapsed());
             asked.request.budget = asked.request.budget.min(left.as_secs_f64());
         }
         let Some((id, answer)) = self.engine.request(asked.txn, asked.request, asked.payload) else {
             return plain(StatusCode::BAD_REQUEST, "X-Txn is in use\n");
         };
         let leaving = Leaving(&self.engine, id);
+        let asked = Instant::now();
         let answer = answer.await;
         drop(leaving); // it has had its answer: nothing is told
+        if let Ok(Answer::Served(_)) = answer {
+            self.stop.borrow_mut().served(self.start.elapsed(), asked.elapsed());
+        }
         match answer {
             // 503 says that trying again does no harm, whoever words it: a backend's own does not
             // go through where the request may have run.
--- /dev/null
+++ b/src/proxy/stopping.rs
@@ -0,0 +1,130 @@
+//! How a proxy that is told to stop divides the time that it has left. No I/O and no clock: times are counted
+//! from any moment that stays.
+
+use crate::Time;
+use hdrhistogram::Histogram;
+use std::time::Duration;
+
+/// SIGKILL follows SIGTERM after the longest deadline, or this if that is less,
+const LONGEST: Duration = Duration::from_secs(3);
+/// and so much more.
+const MORE: Duration = Duration::from_millis(700);
+/// What is taken after SIGTERM is answered so long before SIGKILL.
+const SPARE: Duration = Duration::from_millis(200);
+/// Parts of the time from SIGTERM to SIGKILL in which clients are served as ever, on connections that they have
+/// and on new ones: at least the first, and up to the second as long as what comes can be answered in what is
+/// then left. Guards against a time with no proxy at all: in a rolling restart the front may not have taken in
+/// the one before yet. It could do harm where the time to SIGKILL is much shorter than the operators state, as
+/// what is taken late is then lost.
+const LINGER: [f64; 2] = [0.5, 0.8];
+/// So many of a hundred requests must be answered in it.
+const ANSWERED: f64 = 95.0;
+/// Answers that tell how long answers take; with fewer there is no telling.
+const TELLING: u64 = 20;
+/// Answers are remembered for as long as this, and up to twice as long.
+const KEPT: Duration = Duration::from_secs(20);
+/// The longest answer that is told from longer ones, in milliseconds.
+const MOST: u64 = 60_000;
+
+/// How long answers have taken of late: two histograms of fixed size, to two digits.
+struct Recent {
+    now: Histogram<u32>,
+    before: Histogram<u32>,
+    since: Duration,
+}
+
+/// What a stop allows.
+pub struct Stopping {
+    notice: Duration,
+    recent: Option<Recent>,
+}
+
+impl Stopping {
+    /// Of a proxy whose classes have deadlines up to that, in seconds.
+    pub fn new(longest: Time) -> Self {
+        let longest = Duration::try_from_secs_f64(longest).map_or(LONGEST, |longest| longest.min(LONGEST));
+        // The bounds are constants, and good ones: without them it would serve for the least time.
+        let histogram = || Histogram::new_with_bounds(1, MOST, 2).ok();
+        let recent = histogram().zip(histogram());
+        let recent = recent.map(|(now, before)| Recent { now, before, since: Duration::ZERO });
+        Self { notice: longest + MORE, recent }
+    }
+
+    /// A request was served at `now`, and that took so long.
+    pub fn served(&mut self, now: Duration, took: Duration) {
+        let Some(Recent { now: latest, before, since }) = &mut self.recent else { return };
+        if now.saturating_sub(*since) >= KEPT {
+            std::mem::swap(latest, before);
+            latest.reset();
+            *since = now;
+        }
+        latest.saturating_record(u64::try_from(took.as_millis()).unwrap_or(MOST).clamp(1, MOST));
+    }
+
+    /// How long nearly all answers have taken of late, if that can be told.
+    fn usual(&self) -> Option<Duration> {
+        let Recent { now, before, .. } = self.recent.as_ref()?;
+        let mut both = now.clone();
+        both.add(before).ok()?;
+        (both.len() >= TELLING).then(|| Duration::from_millis(both.value_at_percentile(ANSWERED)))
+    }
+
+    /// For how long after SIGTERM clients are served as ever.
+    pub fn serves(&self) -> Duration {
+        let [least, most] = LINGER.map(|part| self.notice.mul_f64(part));
+        let usual = self.usual().map(|usual| self.left(usual));
+        usual.map_or(least, |until| until.clamp(least, most))
+    }
+
+    /// How long a request may take that comes so long after SIGTERM.
+    pub fn left(&self, since: Duration) -> Duration {
+        (self.notice - SPARE).saturating_sub(since)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn ms(ms: u64) -> Duration {
+        Duration::from_millis(ms)
+    }
+
+    fn after(answers: &[(u64, u64, usize)]) -> Stopping {
+        let mut stopping = Stopping::new(5.0);
+        for (at, took, times) in answers {
+            (0..*times).for_each(|_| stopping.served(ms(*at), ms(*took)));
+        }
+        stopping
+    }
+
+    #[test]
+    fn it_serves_for_as_long_as_what_comes_can_be_answered() {
+        assert_eq!(after(&[]).serves(), ms(1850), "nothing is known");
+        assert_eq!(after(&[(0, 10, 19)]).serves(), ms(1850), "hardly anything is");
+        assert_eq!(after(&[(0, 10, 20)]).serves(), ms(2960));
+        let serves = after(&[(0, 100, 90), (0, 1000, 10)]).serves();
+        assert!((ms(2480)..=ms(2500)).contains(&serves), "{serves:?}");
+        assert_eq!(after(&[(0, 100, 90), (0, 2500, 10)]).serves(), ms(1850));
+        assert_eq!(after(&[(0, 100, 96), (0, 2500, 4)]).serves(), ms(2960), "few are slow");
+        assert_eq!(after(&[(0, u64::MAX, 100)]).serves(), ms(1850));
+    }
+
+    #[test]
+    fn what_was_long_ago_says_nothing() {
+        assert_eq!(after(&[(0, 3000, 100), (30_000, 10, 50)]).serves(), ms(1850), "it is kept for a while");
+        assert_eq!(after(&[(0, 3000, 100), (30_000, 10, 50), (60_000, 10, 50)]).serves(), ms(2960));
+    }
+
+    #[test]
+    fn what_is_taken_late_is_answered_before_the_end() {
+        let stopping = Stopping::new(1.0);
+        assert_eq!(
+            [0, 1000, 1500, 9000].map(|since| stopping.left(ms(since))),
+            [ms(1500), ms(500), ms(0), ms(0)]
+        );
+        assert!(
+            Stopping::new(f64::NAN).left(ms(0)) == ms(3500) && Stopping::new(99.0).left(ms(0)) == ms(3500)
+        );
+    }
+}
