--- a/crates/standins/src/relay.rs
+++ b/crates/standins/src/relay.rs
@@ -1,10 +1,10 @@
 //! A way between two peers that can be cut, as a network is: nothing is lost on it and nothing closed, bytes
-//! wait until it is mended.
+//! wait until it is mended. Where it leads to several, it is a front that deals out connections.
 
 use std::io::{ErrorKind, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 /// How often a pump sees whether its way is cut or over.
@@ -18,6 +18,9 @@
     cut: [AtomicBool; 2],
     over: AtomicBool,
     carried: AtomicUsize,
+    /// Where connections go, in turn.
+    to: Mutex<Vec<SocketAddr>>,
+    dealt: AtomicUsize,
 }
 
 /// Carries connections to an address for as long as it is kept.
@@ -30,9 +33,14 @@
 impl Relay {
     /// To that address, which need not listen yet.
     pub fn start(to: SocketAddr) -> Self {
+        Self::dealing(vec![to])
+    }
+
+    /// To these, one connection after the other; where there are none connections are closed.
+    pub fn dealing(to: Vec<SocketAddr>) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
         let address = listener.local_addr().expect("an address");
-        let shared: Arc<Shared> = Arc::default();
+        let shared = Arc::new(Shared { to: Mutex::new(to), ..Shared::default() });
         let known = shared.clone();
         std::thread::spawn(move || {
             for stream in listener.incoming().map_while(Result::ok) {
@@ -43,7 +51,7 @@
                     known.carried.fetch_add(1, Ordering::SeqCst);
                     let known = known.clone();
                     std::thread::spawn(move || {
-                        let _ = carry(stream, to, &known); // whatever ends it, both ends see it end
+                        let _ = carry(stream, &known); // whatever ends it, both ends see it end
                         known.carried.fetch_sub(1, Ordering::SeqCst);
                     });
                 }
@@ -52,6 +60,11 @@
         Self { address, shared }
     }
 
+    /// From now on connections go there.
+    pub fn deal(&self, to: Vec<SocketAddr>) {
+        *self.shared.to.lock().unwrap_or_else(PoisonError::into_inner) = to;
+    }
+
     /// Holds back what those who connect say, and what they are told.
     pub fn cut(&self, said: bool, told: bool) {
         self.shared.cut[0].store(said, Ordering::SeqCst);
@@ -66,7 +79,7 @@
     }
 }
 
-fn carry(from: TcpStream, to: SocketAddr, shared: &Arc<Shared>) -> std::io::Result<()> {
+fn carry(from: TcpStream, shared: &Arc<Shared>) -> std::io::Result<()> {
     // A connection is no more made over a cut way than a byte sent.
     while shared.cut.iter().any(|c| c.load(Ordering::SeqCst)) {
         if shared.over.load(Ordering::SeqCst) {
@@ -74,6 +87,11 @@
         }
         std::thread::sleep(LOOK);
     }
+    let dealt = shared.dealt.fetch_add(1, Ordering::SeqCst);
+    let to = {
+        let to = shared.to.lock().unwrap_or_else(PoisonError::into_inner);
+        to.get(dealt % to.len().max(1)).copied().ok_or(ErrorKind::NotConnected)?
+    };
     let to = TcpStream::connect(to)?;
     let (back_from, back_to) = (to.try_clone()?, from.try_clone()?);
     let known = shared.clone();
--- a/crates/standins/src/shop.rs
+++ b/crates/standins/src/shop.rs
@@ -4,7 +4,7 @@
 use crate::faulty::Faulty;
 use crate::message::{Message, read};
 use std::collections::HashMap;
-use std::io::{BufReader, Write};
+use std::io::{BufRead, BufReader, ErrorKind, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
@@ -27,6 +27,8 @@
     pub lost: u64,
     /// A good status, and not the right body.
     pub wrong: u64,
+    /// Sent once more, as their connection was closed between two requests without a word of an answer.
+    pub crossed: u64,
     /// How long the refused and failed ones waited.
     pub waited: Vec<Duration>,
     /// How long the served ones took.
@@ -75,6 +77,7 @@
         self.failed += other.failed;
         self.lost += other.lost;
         self.wrong += other.wrong;
+        self.crossed += other.crossed;
         self.waited.extend(other.waited);
         self.took.extend(other.took);
     }
@@ -112,14 +115,28 @@
                 ),
             };
             let asked = Instant::now();
-            let answer = kept.take().or_else(|| connect(address)).and_then(|mut stream| {
+            let ask = |mut stream: BufReader<TcpStream>| {
                 stream.get_mut().write_all(text.as_bytes()).ok()?;
-                let answer = read(&mut stream)?;
-                let closes = answer.header("connection").is_some_and(|c| c == "close");
-                kept = (!closes).then_some(stream);
-                Some(answer)
-            });
+                // Nothing but the end, or a reset: nobody has read the request.
+                let closed =
+                    stream.fill_buf().map_or_else(|e| e.kind() != ErrorKind::WouldBlock, <[u8]>::is_empty);
+                if closed {
+                    return None;
+                }
+                let answer = read(&mut stream);
+                let closes =
+                    answer.as_ref().is_none_or(|a| a.header("connection").is_some_and(|c| c == "close"));
+                Some((answer, (!closes).then_some(stream)))
+            };
             let account = if number.is_multiple_of(2) { &mut accounts.safe } else { &mut accounts.orders };
+            let on_kept = kept.take().and_then(|stream| {
+                let asked = ask(stream);
+                account.crossed += u64::from(asked.is_none());
+                asked
+            });
+            let answered = on_kept.or_else(|| ask(connect(address)?));
+            let (answer, still) = answered.unwrap_or_default();
+            kept = still;
             account.take(answer, &id, asked.elapsed());
             std::thread::sleep(pause);
         }
