A newcomer takes the place of a connection that rests between two requests

Seen in the client table's code: with room for none, only connections that had rested for 2 s or never asked for 0.5 s made room; a newcomer was refused with 503 while others rested for 1.9 s. Now the one that rested longest goes, from 0.1 s on, failing the other two.

A test on sockets: 63 clients, one each 40 ms, in a table for 21: all served; the 22nd was refused before.

--- a/src/proxy/clients.rs
+++ b/src/proxy/clients.rs
@@ -21,6 +21,9 @@
 const IDLE_ENOUGH: Duration = Duration::from_secs(2);
 /// and failing such, one that has never asked for anything and is older than this.
 const MUTE_ENOUGH: Duration = Duration::from_millis(500);
+/// and failing those too, one that has rested for so long between two requests: its client asks again on
+/// another connection, while a newcomer that is turned away has a request in its hand.
+const RESTED: Duration = Duration::from_millis(100);
 /// Part of the room that is for connections which only get a refusal, as all others are at work.
 const OVERFLOW: usize = 8;
 /// How often connections that have outstayed their time are looked for.
@@ -188,7 +191,9 @@
         };
         let idle = longest(&|c| c.since.get().elapsed() >= IDLE_ENOUGH);
         let mute = || longest(&|c| !c.asked.get() && c.since.get().elapsed() >= MUTE_ENOUGH);
-        idle.or_else(mute).inspect(|c| c.close()).is_some()
+        let at_rest = |c: &Client| c.asked.get() && c.begun.get().is_none();
+        let resting = || longest(&|c| at_rest(c) && c.since.get().elapsed() >= RESTED);
+        idle.or_else(mute).or_else(resting).inspect(|c| c.close()).is_some()
     }
 
     /// Closes connections that have outstayed their time.
--- a/tests/bad_clients.rs
+++ b/tests/bad_clients.rs
@@ -63,6 +63,22 @@
     drop(mute);
 }
 
+#[test]
+fn a_newcomer_takes_the_place_of_one_that_rests_between_two_requests() {
+    let backend = Played::good("hello");
+    let mut config = config_of(&settings(), &known(&[&backend]));
+    config["limits"]["sockets"] = json!(64); // room for 21 clients
+    let proxy = Proxy::with(&config, quiet().address);
+    let mut kept = Vec::new();
+    for n in 0..63 {
+        let mut stream = proxy.connect();
+        assert_eq!(ask(&mut stream, &request("look", 9000)).status(), 200, "client {n}");
+        kept.push(stream);
+        // The one that has rested longest does so for less than two seconds, and more than a tenth.
+        std::thread::sleep(Duration::from_millis(40));
+    }
+}
+
 #[test]
 fn a_connection_with_a_request_in_hand_is_not_closed_to_make_room() {
     let (backend, release) = Played::held("hello");
