--- a/benches/day.rs
+++ b/benches/day.rs
@@ -17,7 +17,7 @@
 #[allow(dead_code)]
 mod planner;
 
-use dewpier_plan::{Node, Plan, Slice, Told, Version};
+use dewpier_plan::{DrainBound, Node, Plan, Slice, Told, Version};
 use dewpier_standins::rng::Rng;
 use forwarder::{Attempt, Forwarder, Open};
 use gannetproxy::{Action, Class, Effect, Ended, Event, Outcome, Request, RequestId, Settings};
@@ -167,7 +167,8 @@
         };
         let slice = |f: usize| (way == Way::Parts).then(|| Slice::new(&format!("f{f}"), PART));
         let forwarder = |f: usize| {
-            let mut forwarder = Forwarder::new(0, seed ^ f as u64, settings(f), slice(f));
+            let mut forwarder =
+                Forwarder::new(0, seed ^ f as u64, settings(f), slice(f), DrainBound::default());
             forwarder.lease = None;
             forwarder
         };
--- a/src/command.rs
+++ b/src/command.rs
@@ -3,7 +3,7 @@
 use clap::{Args, Parser, Subcommand};
 use dewpier_inventory::io::{confirm, read_file};
 use dewpier_inventory::{Encoding, Format, Inventory, Options};
-use gannetproxy::serve::config::{Config, ListFrom, PlannerConfig, Planners};
+use gannetproxy::serve::config::{Config, ListFrom, PlannerConfig};
 use gannetproxy::serve::{planner, run, status};
 use serde::Serialize;
 use std::path::{Path, PathBuf};
@@ -172,7 +172,11 @@
         Ok(config) => config,
         Err(error) => return bad(error),
     };
-    let ListFrom::Planners(Planners { status: Some(socket), .. }) = config.source else {
+    let socket = match config.source {
+        ListFrom::Planners(planners) => planners.status,
+        ListFrom::Inventory(_) => None,
+    };
+    let Some(socket) = socket else {
         return bad(format!(
             "{}: expected planners.status, the forwarder's socket, found none",
             path.display()
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -52,10 +52,10 @@
 const T1_REACH: f64 = 0.4;
 /// A call whose backend has answered another that was sent so many normal answer times later is lost and
 /// not merely long: it may be repeated, and tells of no load. Where a backend has too much to do it answers
-/// in about the order in which it was asked, so that none is overtaken by as much. Guards against calls that a backend has
-/// dropped while it goes on with others: they would wait for all of their time, and the unsafe ones
-/// among them, which nothing can help, would cut the chance of all others. Where no backend answers
-/// none is lost, so that a storm is met as before.
+/// in about the order in which it was asked, so that none is overtaken by as much. Guards against calls
+/// that a backend has dropped while it goes on with others: they would wait for all of their time, and the
+/// unsafe ones among them, which nothing can help, would cut the chance of all others. Where no backend
+/// answers none is lost, so that a storm is met as before.
 const LOST: f64 = 8.0;
 /// T1 is spread by this part, lest failed calls of many balancers return on shared beats.
 const T1_SPREAD: f64 = 0.1;
--- a/src/serve/config.rs
+++ b/src/serve/config.rs
@@ -67,7 +67,7 @@
     /// A file.
     Inventory(Inventory),
     /// Planners, who tell what they have of one.
-    Planners(Planners),
+    Planners(Box<Planners>),
 }
 
 /// The planners of a forwarder.
@@ -406,15 +406,16 @@
             (Some(raw), None) => ListFrom::Inventory(inventory(raw, path)?),
             (own, Some(raw)) => {
                 let own = own.as_ref().map(|raw| inventory(raw, path)).transpose()?;
-                ListFrom::Planners(planners(raw, own, path)?)
+                ListFrom::Planners(Box::new(planners(raw, own, path)?))
             }
             (None, None) => return wrong(0..0, "configuration", "[inventory] or [planners]", "neither"),
         };
         // A forwarder hears after planners have, and its grace is what their leases leave of the bound.
         let grace = &backends.drain_grace_ms;
         let drain_grace = match &source {
-            ListFrom::Planners(Planners { drains, .. }) => {
-                fitting(grace, "drain_grace_ms", *drains, drains.graces(), drains.grace())?
+            ListFrom::Planners(planners) => {
+                let drains = planners.drains;
+                fitting(grace, "drain_grace_ms", drains, drains.graces(), drains.grace())?
             }
             ListFrom::Inventory(_) => millis(grace, "drain_grace_ms", [10, 60_000], 500)?,
         };
--- a/src/serve/run.rs
+++ b/src/serve/run.rs
@@ -68,7 +68,7 @@
     let Config { listen, descriptors, memory, source, settings, wire, routes } = config;
     let mut lists = match source {
         ListFrom::Inventory(inventory) => Lists::of_inventory(inventory)?,
-        ListFrom::Planners(planners) => Lists::of_planners(planners)?,
+        ListFrom::Planners(planners) => Lists::of_planners(*planners)?,
     };
     // Nothing is served before there is a list, and a proxy that can't have one says so and ends.
     let mut members = Members::new(wire.zones.clone());
