--- a/tests/kept.rs
+++ b/tests/kept.rs
@@ -43,6 +43,14 @@
     assert_eq!((accounts.safe.served, accounts.orders.served), (60, 60), "{accounts:?}");
 }
 
+#[test]
+fn connections_closed_right_before_they_are_asked_on_cost_nothing() {
+    let nodes = [sound(1), sound(2)];
+    nodes.iter().for_each(|n| n.closes_after(Duration::from_secs(5)));
+    let accounts = shop(&nodes, 16, 48, Duration::from_millis(5050));
+    assert_eq!((accounts.safe.served, accounts.orders.served), (24, 24), "{accounts:?}");
+}
+
 #[test]
 fn connections_closed_behind_each_tenth_answer_cost_nothing() {
     let nodes = [1, 2].map(|seed| Faulty::start(seed, 0.1, &[Fault::Closed]));
--- a/tests/plan.rs
+++ b/tests/plan.rs
@@ -19,6 +19,15 @@
     orders(address, name, 4, Duration::from_millis(1))
 }
 
+/// That table with its first `count` rows draining.
+fn draining(table: &str, count: usize) -> String {
+    let row = |(i, l): (usize, &str)| match (1..=count).contains(&i) {
+        true => l.replace("serving", "draining") + "\n",
+        false => format!("{l}\n"),
+    };
+    table.lines().enumerate().map(row).collect()
+}
+
 #[test]
 fn forwarders_follow_a_planner_through_drains_and_its_death() {
     let backends: Vec<Backend> =
@@ -111,15 +120,7 @@
         let load = load(forwarder.address, "f0");
         wait_for("load on all", || backends.iter().all(|b| b.count() > 2));
         for drained in 0..2 {
-            let text: String = good
-                .lines()
-                .enumerate()
-                .map(|(i, l)| {
-                    let drains = (1..=drained + 1).contains(&i);
-                    let row = if drains { l.replace("serving", "draining") } else { l.to_string() };
-                    row + "\n"
-                })
-                .collect();
+            let text = draining(&good, drained + 1);
             let lines = planner.lines();
             // The second one is told to a planner that can't pass it on, and does not answer either.
             replace(&file, text.as_bytes());
@@ -154,15 +155,7 @@
     for drained in 0..2 {
         forwarder.signal("-STOP");
         std::thread::sleep(Duration::from_millis(100)); // what it had begun is through
-        let text: String = good
-            .lines()
-            .enumerate()
-            .map(|(i, l)| {
-                let drains = (1..=drained + 1).contains(&i);
-                let row = if drains { l.replace("serving", "draining") } else { l.to_string() };
-                row + "\n"
-            })
-            .collect();
+        let text = draining(&good, drained + 1);
         let lines = planner.lines();
         replace(&file, text.as_bytes());
         let (told, _) = planner.logged(lines, "backends from");
