The house: HTTP front and program in crates of their own, engine without hyper

A second front needs the engine's Upstream from a crate of its own, which would have closed a circle with the program that starts it. The root package is the module, its wire and the engine now; crates/http is the HTTP front and its backends, crates/dewpier the program. The circle lists - planned - run is gone: a file's lists (watched.rs) know neither planners nor the proxy, lent.rs and nodes.rs are shared, errors and TLS have files of their own. Budget moved to the engine, as both fronts need it.

No change of behaviour: all tests as they were, moved; the one of growth is split by what it needs.

--- a/examples/demo.rs
+++ b/crates/dewpier/examples/demo.rs
@@ -3,9 +3,9 @@
 //! Prints what was served, refused and failed. Ends by itself, with status 1 if a request was left
 //! without an answer, an order ran twice, or a drained backend got something new after the grace.
 
+use dewpier::{config::Config, run};
 use dewpier_standins::backend::Backend;
 use dewpier_standins::load::{Load, Tally};
-use gannetproxy::serve::{config::Config, run};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::path::Path;
--- a/src/command.rs
+++ b/crates/dewpier/src/command.rs
@@ -1,10 +1,11 @@
 //! The command line. Without arguments the program is the platform's proxy, as ever.
 
 use clap::{Args, Parser, Subcommand};
+use dewpier::config::{Config, ListFrom, PlannerConfig};
+use dewpier::error::ServeError;
+use dewpier::{planner, run, status};
 use dewpier_inventory::io::{confirm, read_file};
 use dewpier_inventory::{Encoding, Format, Inventory, Options};
-use gannetproxy::serve::config::{Config, ListFrom, PlannerConfig};
-use gannetproxy::serve::{planner, run, status};
 use serde::Serialize;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
@@ -148,9 +149,9 @@
 }
 
 /// Runs a program to its end.
-fn ended(program: impl Future<Output = Result<(), run::ServeError>>) -> ExitCode {
+fn ended(program: impl Future<Output = Result<(), ServeError>>) -> ExitCode {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-    let ran = runtime.map_err(run::ServeError::from).and_then(|runtime| {
+    let ran = runtime.map_err(ServeError::from).and_then(|runtime| {
         let ran = tokio::task::LocalSet::new().block_on(&runtime, program);
         // A look-up that the system does not answer must not hold up the exit.
         runtime.shutdown_background();
@@ -158,7 +159,7 @@
     });
     match ran {
         Ok(()) => ExitCode::SUCCESS,
-        Err(run::ServeError::Inventory(error)) => bad(error),
+        Err(ServeError::Inventory(error)) => bad(error),
         Err(error) => {
             eprintln!("dewpier: {error}");
             ExitCode::FAILURE
--- /dev/null
+++ b/crates/dewpier/src/config/tests.rs
@@ -0,0 +1,148 @@
+use super::*;
+use gannetproxy::Effect;
+use hyper::Method;
+
+const LEAST: &str = "listen = \"127.0.0.1:0\"\n[inventory]\nfile = \"nodes.csv\"\n";
+
+const FORWARDER: &str =
+    "listen = \"127.0.0.1:0\"\n[planners]\nname = \"f\"\naddresses = [\"127.0.0.1:1\"]\nplaintext = true\n";
+
+fn parse(text: &str) -> Result<Config, String> {
+    Config::parse(text, Path::new("/etc/dewpier/dewpier.toml")).map_err(|error| error.to_string())
+}
+
+#[test]
+fn little_is_needed() {
+    let config = parse(LEAST).unwrap();
+    let ListFrom::Inventory(inventory) = &config.source else { panic!("{:?}", config.source) };
+    assert_eq!(inventory.file, Path::new("/etc/dewpier/nodes.csv"));
+    assert_eq!(config.wire.drain_grace, Duration::from_millis(500));
+    let class = |method, path| {
+        let class = config.routes.class(&method, path)?;
+        Some((config.wire.classes[class].as_str(), config.settings.classes[class].effect))
+    };
+    assert_eq!(class(Method::GET, "/a"), Some(("default-safe", Effect::Safe)));
+    assert_eq!(class(Method::POST, "/a"), Some(("default-unsafe", Effect::Unsafe)));
+    assert_eq!(class(Method::DELETE, "/a"), Some(("default-unsafe", Effect::Unsafe)));
+}
+
+#[test]
+fn a_bound_on_drains_sets_what_must_fit_into_it() {
+    let forwarder = |settings: &str| {
+        let config = parse(&format!("{FORWARDER}{settings}")).unwrap();
+        let ListFrom::Planners(planners) = config.source else { panic!("{:?}", config.source) };
+        [planners.drains.get(), planners.beat, planners.spread, config.wire.drain_grace]
+            .map(|t| t.as_millis())
+    };
+    assert_eq!(forwarder(""), [500, 100, 100, 100]);
+    assert_eq!(forwarder("drain_ms = 250\n"), [250, 50, 50, 50]);
+    assert_eq!(forwarder("drain_ms = 100\n"), [100, 20, 20, 20]);
+    let planner = |settings: &str| {
+        let text =
+            format!("listen = \"127.0.0.1:0\"\nplaintext = true\n{settings}[inventory]\nfile = \"a\"\n");
+        let config = PlannerConfig::parse(&text, Path::new("/p.toml"));
+        config.map(|c| c.lease.as_millis()).map_err(|error| error.to_string())
+    };
+    assert_eq!(["", "drain_ms = 250\n", "drain_ms = 100\n"].map(planner), [Ok(400), Ok(200), Ok(80)]);
+    let told = planner("drain_ms = 250\nlease_ms = 201\n").unwrap_err();
+    assert_eq!(
+        told,
+        "/p.toml:4:12: lease_ms: expected a whole number from 50 to 200, found 201, where drain_ms is 250"
+    );
+}
+
+#[test]
+fn the_checked_example_is_good() {
+    let example = concat!(env!("CARGO_MANIFEST_DIR"), "/../../deploy/dewpier.toml");
+    let config = Config::read(Path::new(example)).unwrap();
+    let ListFrom::Inventory(inventory) = &config.source else { panic!("{:?}", config.source) };
+    let list = dewpier_inventory::io::read_file(&inventory.file, &inventory.options).unwrap();
+    assert!(list.backends.len() > 1);
+}
+
+#[test]
+fn what_is_wrong_is_told_with_its_place() {
+    for (text, place, words) in [
+        ("listen = \"here\"\n[inventory]\nfile = \"a\"\n", "1:10", "address:port, found 'here'"),
+        ("[inventory]\nfile = \"a\"\n", "1:1", "listen"),
+        ("listen = \"127.0.0.1:0\"\n", "1:1", "[inventory] or [planners], found neither"),
+        (
+            "listen = \"127.0.0.1:0\"\n[planners]\nname = \"f\"\naddresses = [\"10.0.0.1:1\"]\nplaintext = true\n",
+            "4:14",
+            "loopback",
+        ),
+        ("listen = \"127.0.0.1:0\"\n[planners]\nname = \"f\"\naddresses = []\n", "4:13", "1 to 16, found 0"),
+        (
+            "listen = \"127.0.0.1:0\"\n[planners]\nname = \"f\"\naddresses = [\"127.0.0.1:1\"]\n",
+            "4:13",
+            "a table 'tls', or plaintext = true on loopback, found neither",
+        ),
+        (
+            "listen = \"127.0.0.1:0\"\n[planners]\nname = \"f\"\naddresses = [\"127.0.0.1:1\"]\nplaintext = true\nnodes = 0\n",
+            "6:9",
+            "nodes: expected a whole number from 1 to 20000, found 0",
+        ),
+        (
+            &format!("{FORWARDER}drain_ms = 99\n"),
+            "6:12",
+            "drain_ms: expected a whole number from 100 to 2000, found 99",
+        ),
+        (
+            &format!("{FORWARDER}drain_ms = 250\nbeat_ms = 67\n"),
+            "7:11",
+            "beat_ms: expected a whole number from 10 to 66, found 67, where drain_ms is 250",
+        ),
+        (
+            &format!("{FORWARDER}drain_ms = 250\nown_watch_spread_ms = 600\n"),
+            "7:23",
+            "own_watch_spread_ms: expected a whole number from 0 to 550, found 600, where drain_ms is 250",
+        ),
+        (
+            &format!("{FORWARDER}[backends]\ndrain_grace_ms = 101\n"),
+            "7:18",
+            "drain_grace_ms: expected a whole number from 10 to 100, found 101, where drain_ms is 500",
+        ),
+        (&format!("{LEAST}fil = 1\n"), "4:1", "unknown field `fil`"),
+        (&format!("{LEAST}max_vanish = 1.5\n"), "4:14", "a number from 0 to 1, found 1.5"),
+        (&format!("{LEAST}max_vanish = nan\n"), "4:14", "a number from 0 to 1, found NaN"),
+        (&format!("{LEAST}default_port = 0\n"), "4:16", "1 to 65535, found 0"),
+        (&format!("{LEAST}settle_ms = -1\n"), "4:13", "0 to 60000"),
+        (&format!("{LEAST}encoding = \"koi8-r\"\n"), "4:12", "kz-1048"),
+        (&format!("{LEAST}format = \"xml\"\n"), "4:10", "file_sd"),
+        (&format!("{LEAST}[limits]\nmax_attempts = 0\n"), "5:16", "1 to 16"),
+        (&format!("{LEAST}[instances]\nnumber = 2\nme = 2\n"), "6:6", "0 to 1"),
+        (&format!("{LEAST}[[class]]\nname = \"a\"\neffect = \"keyed\"\n"), "5:8", "window_ms"),
+        (&format!("{LEAST}[[class]]\nname = \"a\"\neffect = \"sure\"\n"), "6:10", "sure"),
+        (&format!("{LEAST}[[class]]\nname = \"a\"\neffect = \"safe\"\nwindow_ms = 4\n"), "7:13", "none"),
+        (
+            &format!("{LEAST}[[class]]\nname = \"a\"\neffect = \"safe\"\nmatch = [{{path = \"a\"}}]\n"),
+            "7:18",
+            "/",
+        ),
+        (
+            &format!(
+                "{LEAST}[[class]]\nname = \"a\"\neffect = \"safe\"\nmatch = [{{methods = [\"get\"]}}]\n"
+            ),
+            "7:22",
+            "GET",
+        ),
+        (
+            &format!("{LEAST}[[class]]\nname = \"a\"\neffect = \"safe\"\naim_ms = 20000\n"),
+            "7:10",
+            "1 to 15000",
+        ),
+        (
+            &format!(
+                "{LEAST}[[class]]\nname = \"a\"\neffect = \"safe\"\n[[class]]\nname = \"a\"\neffect = \"safe\"\n"
+            ),
+            "8:8",
+            "no other",
+        ),
+        ("listen = ", "1:10", ""),
+        ("", "1:1", "listen"),
+    ] {
+        let told = parse(text).map(|_| ()).unwrap_err();
+        assert!(told.starts_with(&format!("/etc/dewpier/dewpier.toml:{place}: ")), "{text}{told}");
+        assert!(told.contains(words) && told.lines().count() == 1, "{words}: {told}");
+    }
+}
--- a/src/serve/planned.rs
+++ b/crates/dewpier/src/lists/planned.rs
@@ -1,12 +1,12 @@
 //! A forwarder's lists: its planners' while they can be heard, and its own watch's while they can't.
 
-use super::config::Planners;
-use super::lists::{Lists, node};
+use super::lent::Lent;
+use super::nodes::node;
 use super::resolve::Resolved;
-use super::run::ServeError;
-use super::status::{self, Shown, ShownNode};
-use crate::engine::Lease;
-use dewpier_plan::io::{Files, Following, Security, Seen, follow};
+use super::watched::Watched;
+use crate::config::Planners;
+use crate::status::{self, Shown, ShownNode};
+use dewpier_plan::io::{Following, Security, Seen, follow};
 use dewpier_plan::{Digest, Follower, Node, Rules, Slice, Standby, asked_every};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -20,41 +20,6 @@
 /// How often it is seen whether to turn to another source, while that is on the way.
 const LOOK: Duration = Duration::from_millis(5);
 
-/// A lease that is lent only for a list that has been taken: a list that waits to be taken may name a
-/// drain.
-pub(super) struct Lent {
-    pub(super) lease: Rc<Lease>,
-    wanted: Cell<Option<Instant>>,
-    waiting: Cell<bool>,
-}
-
-impl Lent {
-    /// Over until somebody vouches.
-    pub(super) fn new(start: Instant) -> Rc<Self> {
-        let lease = Rc::new(Lease::default());
-        lease.set(Some(start));
-        Rc::new(Self { lease, wanted: Cell::new(Some(start)), waiting: Cell::new(false) })
-    }
-
-    fn lend(&self, until: Option<Instant>) {
-        self.wanted.set(until);
-        if !self.waiting.get() {
-            self.lease.set(until);
-        }
-    }
-
-    /// It would hold, were its list taken.
-    pub(super) fn would_hold(&self) -> bool {
-        self.wanted.get().is_none_or(|until| Instant::now() < until)
-    }
-
-    /// The latest list has been taken.
-    pub(super) fn taken(&self) {
-        self.waiting.set(false);
-        self.lease.set(self.wanted.get());
-    }
-}
-
 /// All that is known of planners and of the own watch.
 struct Sides {
     follower: Rc<RefCell<Follower>>,
@@ -122,7 +87,7 @@
     fn hand_on(&self, standby: &Standby, follower: &Follower, changed: bool) {
         if changed {
             // The list goes first: what is lent from here on is lent for it.
-            self.lent.waiting.set(true);
+            self.lent.waits();
             self.told.send_replace(standby.nodes(follower));
         }
         let until = standby.until(follower, self.start.elapsed());
@@ -130,7 +95,7 @@
     }
 
     /// Asks the own watch to look, and hears when it last did.
-    fn look(&self, watch: &Lists) {
+    fn look(&self, watch: &Watched) {
         let mut standby = self.standby.borrow_mut();
         if let Some(began) = watch.looked() {
             standby.looked(began.saturating_duration_since(self.start));
@@ -173,7 +138,7 @@
     let following = Following { planners: addresses, name, beat, start, security };
     let followed = follow(following, follower, ends.digests, |follower, seen| sides.see(follower, seen));
     tokio::pin!(followed);
-    let mut watch: Option<Lists> = None;
+    let mut watch: Option<Watched> = None;
     let status = ends.status;
     let mut looked = start;
     loop {
@@ -205,8 +170,8 @@
         }
         let watches = sides.standby.borrow().watches();
         match (&own, watches, &watch) {
-            (Some(inventory), true, None) => match Lists::of_inventory(inventory.clone()) {
-                Ok(lists) => watch = Some(lists),
+            (Some(inventory), true, None) => match Watched::start(inventory.clone()) {
+                Ok(watched) => watch = Some(watched),
                 Err(error) => {
                     eprintln!("dewpier: an own watch can't begin: {error}");
                     sides.standby.borrow_mut().no_list();
@@ -223,21 +188,6 @@
     }
 }
 
-/// How connections are secured, by these files if there are any.
-pub(super) fn security(tls: Option<Files>) -> Result<Security, ServeError> {
-    match tls {
-        Some(files) => Security::read(files).map_err(|error| ServeError::Inventory(error.to_string())),
-        None => Ok(Security::plain()),
-    }
-}
-
-/// Reads the files again.
-pub(super) fn reload(security: &Security) {
-    if let Err(error) = security.reload() {
-        eprintln!("dewpier: the certificates stay as they are: {error}");
-    }
-}
-
 /// The next one who asks on that socket.
 async fn asked(status: &Option<UnixListener>) -> UnixStream {
     loop {
@@ -251,9 +201,9 @@
     }
 }
 
-async fn next(watch: &mut Option<Lists>) -> Result<Resolved, String> {
+async fn next(watch: &mut Option<Watched>) -> Result<Resolved, String> {
     match watch {
-        Some(lists) => lists.next().await,
+        Some(watched) => watched.next().await,
         None => std::future::pending().await,
     }
 }
--- a/src/serve/members.rs
+++ b/crates/dewpier/src/members.rs
@@ -1,9 +1,9 @@
 //! Inventories as news of the list: which nodes are new, which return, which go. No I/O.
 
-use crate::engine::{Listed, News};
-use crate::proxy::listing::{self, Names};
-use crate::{Entry, Status, Time};
+use dewpier_http::listing::{self, Names};
 use dewpier_inventory::{Backend, State};
+use gannetproxy::engine::{Listed, News};
+use gannetproxy::{Entry, Status, Time};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 
@@ -93,12 +93,12 @@
     }
 
     /// The names of nodes by their numbers.
-    pub fn names(&self) -> HashMap<crate::BackendId, &str> {
+    pub fn names(&self) -> HashMap<gannetproxy::BackendId, &str> {
         self.members.iter().map(|(name, member)| (member.entry.id, name.as_str())).collect()
     }
 
     /// Forgets the numbers of nodes that nothing names any more.
-    pub fn forget(&mut self, known: impl Fn(crate::BackendId) -> bool) {
+    pub fn forget(&mut self, known: impl Fn(gannetproxy::BackendId) -> bool) {
         self.names.forget(known);
     }
 
--- a/src/serve/planner.rs
+++ b/crates/dewpier/src/planner.rs
@@ -1,11 +1,13 @@
 //! A planner: watches an inventory, agrees with other planners, and tells forwarders what they may use.
 
-use super::config::PlannerConfig;
-use super::lists::{Lists, node};
-use super::resolve::Resolved;
-use super::run::ServeError;
-use crate::proxy::server;
+use crate::config::PlannerConfig;
+use crate::error::ServeError;
+use crate::lists::nodes::node;
+use crate::lists::resolve::Resolved;
+use crate::lists::watched::Watched;
+use crate::tls;
 use dewpier_cluster::{Cluster, Settings};
+use dewpier_http::server;
 use tokio::signal::unix::{SignalKind, signal};
 
 /// How often it is seen whether the inventory is to be looked at: so many times in a lease.
@@ -16,9 +18,9 @@
     let mut hangup = signal(SignalKind::hangup())?;
     let mut terminate = signal(SignalKind::terminate())?;
     let lease = config.lease;
-    let mut lists = Lists::of_inventory(config.inventory)?;
+    let mut lists = Watched::start(config.inventory)?;
     let first = lists.first().await?;
-    let security = super::planned::security(config.tls)?;
+    let security = tls::security(config.tls)?;
     let listener = server::bind(config.listen)?;
     let address = listener.local_addr()?;
     let others = config.planners.get(config.number as usize).copied();
@@ -66,7 +68,7 @@
             }
             _ = hangup.recv() => {
                 lists.reload();
-                super::planned::reload(&security);
+                tls::reload(&security);
             }
             _ = terminate.recv() => return Ok(()),
         }
--- a/src/main.rs
+++ b/crates/dewpier/src/platform.rs
@@ -1,30 +1,28 @@
 //! The platform's proxy: starts it, has it read its configuration again on SIGHUP, stops it on SIGTERM.
 
-#![forbid(unsafe_code)]
-
-mod command;
-
+use dewpier_http::backend::{Answers, Http, Reuse};
+use dewpier_http::config::{Config, ConfigError, Wins};
+use dewpier_http::discovery::Discovery;
+use dewpier_http::limits::{Budget, Caps};
+use dewpier_http::request::Dialect;
+use dewpier_http::server::{self, Server};
 use gannetproxy::engine::Engine;
-use gannetproxy::proxy::backend::{Answers, Http, Reuse};
-use gannetproxy::proxy::config::{Config, ConfigError, Wins};
-use gannetproxy::proxy::discovery::Discovery;
-use gannetproxy::proxy::limits::{Budget, Caps};
-use gannetproxy::proxy::request::Dialect;
-use gannetproxy::proxy::server::{self, Server};
-use std::process::ExitCode;
 use thiserror::Error;
 use tokio::signal::unix::{SignalKind, signal};
-use tokio::task::LocalSet;
 
+/// Why it does not start.
 #[derive(Debug, Error)]
-enum StartError {
+pub enum StartError {
+    /// Its configuration can't be used.
     #[error("{0}")]
     Config(#[from] ConfigError),
+    /// The system does not let it.
     #[error("{0}")]
     Io(#[from] std::io::Error),
 }
 
-async fn run() -> Result<(), StartError> {
+/// Serves until SIGTERM. Runs on a [`tokio::task::LocalSet`].
+pub async fn run() -> Result<(), StartError> {
     // The handlers come first: a signal that finds none ends the program.
     let mut reload = signal(SignalKind::hangup())?;
     let mut stop = signal(SignalKind::terminate())?;
@@ -61,18 +59,3 @@
     }
     Ok(())
 }
-
-fn main() -> ExitCode {
-    if std::env::args_os().len() > 1 {
-        return command::run();
-    }
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-    let ran = runtime.map_err(StartError::from);
-    match ran.and_then(|runtime| LocalSet::new().block_on(&runtime, run())) {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(error) => {
-            eprintln!("dewpier: {error}");
-            ExitCode::FAILURE
-        }
-    }
-}
--- a/src/serve/run.rs
+++ b/crates/dewpier/src/run.rs
@@ -1,43 +1,31 @@
 //! Starts a proxy from a checked configuration, and feeds it the lists that its inventory or its
 //! planners give.
 
-use super::config::{Config, ListFrom};
-use super::lists::Lists;
-use super::members::Members;
-use super::resolve::Resolved;
-use crate::BackendId;
-use crate::engine::{Counts, Engine, News};
-use crate::proxy::backend::{Answers, Http, Reuse};
-use crate::proxy::limits::{Budget, Caps};
-use crate::proxy::request::Dialect;
-use crate::proxy::server::{self, Server};
+use crate::config::{Config, ListFrom};
+use crate::error::ServeError;
+use crate::lists::Lists;
+use crate::lists::resolve::Resolved;
+use crate::members::Members;
+use dewpier_http::backend::{Answers, Http, Reuse};
+use dewpier_http::limits::{Budget, Caps};
+use dewpier_http::request::Dialect;
+use dewpier_http::server::{self, Server};
 use dewpier_inventory::{Backend, State};
 use dewpier_plan::{Digest, MOST_COUNTED};
+use gannetproxy::BackendId;
+use gannetproxy::engine::{Counts, Engine, News};
 use std::cmp::Reverse;
 use std::collections::HashMap;
 use std::collections::hash_map::RandomState;
 use std::hash::{BuildHasher, Hasher};
-use std::io;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
-use thiserror::Error;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::Notify;
 
 /// How often planners are told what was seen.
 const DIGEST_EVERY: Duration = Duration::from_secs(1);
 
-/// Why a proxy does not start.
-#[derive(Debug, Error)]
-pub enum ServeError {
-    /// The system does not let it.
-    #[error("{0}")]
-    Io(#[from] io::Error),
-    /// There is no list that can be used, or a file that is needed for one can't be.
-    #[error("{0}")]
-    Inventory(String),
-}
-
 /// Serves until SIGTERM. SIGHUP has the inventory read at once.
 pub async fn until_signals(config: Config) -> Result<(), ServeError> {
     // The handlers come first: a signal that finds none ends the program.
--- /dev/null
+++ b/crates/dewpier/tests/common/mod.rs
@@ -0,0 +1,4 @@
+//! What tests on the platform's protocol share.
+#![allow(dead_code)]
+
+pub mod sockets;
--- a/tests/levels/forwarder.rs
+++ b/crates/dewpier/tests/levels/forwarder.rs
@@ -1,9 +1,9 @@
 //! A forwarder: its cores, its decision module, and what the engine does round it.
 
+use dewpier::lists::nodes::backend;
+use dewpier::members::Members;
 use dewpier_plan::{Counts, Digest, DrainBound, Follower, Node, Rules, Slice, Standby};
 use gannetproxy::engine::{Listed, News};
-use gannetproxy::serve::lists::backend;
-use gannetproxy::serve::members::Members;
 use gannetproxy::{Action, BackendId, Balancer, Entry, Event, ListUpdate, Settings, Status};
 use std::collections::HashMap;
 use std::time::Duration;
--- a/tests/proxy.rs
+++ b/crates/dewpier/tests/proxy.rs
@@ -4,11 +4,11 @@
 mod common;
 
 use common::sockets::*;
+use dewpier_http::backend::{Answers, Http, Reuse};
+use dewpier_http::limits::Budget;
+use dewpier_http::payload::Payload;
 use gannetproxy::Outcome;
 use gannetproxy::engine::{Attempt, Clock, Gate, Upstream};
-use gannetproxy::proxy::backend::{Answers, Http, Reuse};
-use gannetproxy::proxy::limits::Budget;
-use gannetproxy::proxy::payload::Payload;
 use serde_json::json;
 use std::io::Write;
 use std::net::TcpListener;
--- a/src/proxy/backend.rs
+++ b/crates/http/src/backend.rs
@@ -1,14 +1,14 @@
 //! Backends that speak HTTP: their idle connections, attempts and probes on them, and the exact
 //! outcome of each.
 
-use super::headers::end_to_end;
-use super::limits::{Budget, Permit};
-use super::payload::Payload;
-use super::peer::{HELD, Peer, Spoilt, connect};
-use crate::engine::{Attempt, Done, Upstream};
-use crate::{Outcome, Report};
+use crate::headers::end_to_end;
+use crate::limits::{Budget, Permit};
+use crate::payload::Payload;
+use crate::peer::{HELD, Peer, Spoilt, connect};
 use bytes::Bytes;
 use dewpier_reuse::{Odds, Price, Shared, Stake};
+use gannetproxy::engine::{Attempt, Done, Upstream};
+use gannetproxy::{Outcome, Report};
 use http_body_util::Full;
 use hyper::header::{CONTENT_TYPE, HeaderMap, HeaderValue};
 use hyper::{Method, Request, StatusCode};
--- a/src/proxy/config.rs
+++ b/crates/http/src/config.rs
@@ -1,8 +1,8 @@
 //! What a proxy is told at its start: environment and JSON, turned into the module's settings.
 
-use super::listing::{self, RawList};
-use crate::engine::Bounds;
-use crate::{Class, Effect, Group, Settings, Time};
+use crate::listing::{self, RawList};
+use gannetproxy::engine::Bounds;
+use gannetproxy::{Class, Effect, Group, Settings, Time};
 use serde::Deserialize;
 use std::net::SocketAddr;
 use std::time::Duration;
--- a/src/proxy/discovery.rs
+++ b/crates/http/src/discovery.rs
@@ -1,12 +1,12 @@
 //! Discovery: the watch and fetch calls.
 
-use super::backend::Http;
-use super::config::WireSettings;
-use super::listing::{Names, RawList};
-use super::peer::{self, Peer};
-use crate::Settings;
-use crate::engine::{Ask, Engine, News};
+use crate::backend::Http;
+use crate::config::WireSettings;
+use crate::listing::{Names, RawList};
+use crate::peer::{self, Peer};
 use bytes::Bytes;
+use gannetproxy::Settings;
+use gannetproxy::engine::{Ask, Engine, News};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::Request;
 use std::cell::{Cell, RefCell};
--- a/src/proxy/limits.rs
+++ b/crates/http/src/limits.rs
@@ -1,7 +1,6 @@
 //! What the process may use at once, from the limits it is told: connections and memory.
 
-use std::cell::Cell;
-use std::rc::Rc;
+pub use gannetproxy::engine::{Budget, Permit};
 
 /// Largest body, of a request or an answer.
 pub const MOST_BODY: usize = 64 << 10;
@@ -38,41 +37,3 @@
         }
     }
 }
-
-/// So much of something may be in use, all together.
-pub struct Budget {
-    used: Cell<usize>,
-    most: usize,
-}
-
-/// A part of a budget, given back when it is dropped.
-pub struct Permit {
-    budget: Rc<Budget>,
-    part: usize,
-}
-
-impl Budget {
-    /// Room for so much.
-    pub fn new(most: usize) -> Rc<Self> {
-        Rc::new(Self { used: Cell::new(0), most })
-    }
-
-    /// There is room for none.
-    pub fn full(&self) -> bool {
-        self.used.get() >= self.most
-    }
-
-    /// Takes a part, if there is room for it.
-    pub fn take(self: &Rc<Self>, part: usize) -> Option<Permit> {
-        (part <= self.most - self.used.get()).then(|| {
-            self.used.set(self.used.get() + part);
-            Permit { budget: self.clone(), part }
-        })
-    }
-}
-
-impl Drop for Permit {
-    fn drop(&mut self) {
-        self.budget.used.set(self.budget.used.get() - self.part);
-    }
-}
--- a/src/proxy/listing.rs
+++ b/crates/http/src/listing.rs
@@ -1,7 +1,7 @@
 //! Lists of backends as discovery writes them, and their names in the module's terms.
 
-use crate::engine::{Clock, Listed};
-use crate::{BackendId, Entry, Status};
+use gannetproxy::engine::{Clock, Listed};
+use gannetproxy::{BackendId, Entry, Status};
 use serde::Deserialize;
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
--- a/src/proxy/payload.rs
+++ b/crates/http/src/payload.rs
@@ -1,8 +1,8 @@
 //! A request as it goes on to backends.
 
-use crate::Time;
 use bytes::Bytes;
 use dewpier_reuse::Stake;
+use gannetproxy::Time;
 use http_body_util::Full;
 use hyper::header::{HeaderMap, HeaderValue};
 use hyper::{Method, Uri};
--- a/src/proxy/peer.rs
+++ b/crates/http/src/peer.rs
@@ -1,6 +1,6 @@
 //! One connection to a backend or to discovery, and one exchange on it.
 
-use super::limits::{MOST_BODY, MOST_HEAD};
+use crate::limits::{MOST_BODY, MOST_HEAD};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::{Body, Incoming};
--- a/src/proxy/request.rs
+++ b/crates/http/src/request.rs
@@ -1,13 +1,13 @@
 //! Reading a client's request and checking it, all that is wrong with it among the errors.
 
-use super::config::WireSettings;
-use super::headers::onward;
-use super::limits::{Budget, MOST_BODY, Permit};
-use super::payload::Payload;
-use super::routes::Routes;
-use crate::{Class, Effect, Request, RequestId, Settings, Time};
+use crate::config::WireSettings;
+use crate::headers::onward;
+use crate::limits::{Budget, MOST_BODY, Permit};
+use crate::payload::Payload;
+use crate::routes::Routes;
 use bytes::{Bytes, BytesMut};
 use dewpier_reuse::Stake;
+use gannetproxy::{Class, Effect, Request, RequestId, Settings, Time};
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 use hyper::header::{HeaderMap, TRANSFER_ENCODING};
--- a/src/proxy/server.rs
+++ b/crates/http/src/server.rs
@@ -1,14 +1,14 @@
 //! The clients' side: the listener, requests and their answers, readiness and the graceful stop.
 
-use super::backend::{Http, Served};
-use super::clients::{self, Client, Clients, Place, Socket};
-use super::config::WireSettings;
-use super::limits::{Budget, Caps, MOST_HEAD};
-use super::request::{self, Asked, Dialect, Unfit};
-use super::stopping::Stopping;
-use crate::engine::{Answer, Engine};
-use crate::{RequestId, Settings, Time};
+use crate::backend::{Http, Served};
+use crate::clients::{self, Client, Clients, Place, Socket};
+use crate::config::WireSettings;
+use crate::limits::{Budget, Caps, MOST_HEAD};
+use crate::request::{self, Asked, Dialect, Unfit};
+use crate::stopping::Stopping;
 use bytes::Bytes;
+use gannetproxy::engine::{Answer, Engine};
+use gannetproxy::{RequestId, Settings, Time};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HeaderValue, RETRY_AFTER};
--- a/src/proxy/stopping.rs
+++ b/crates/http/src/stopping.rs
@@ -1,7 +1,7 @@
 //! How a proxy that is told to stop divides the time that it has left. No I/O and no clock: times are counted
 //! from any moment that stays.
 
-use crate::Time;
+use gannetproxy::Time;
 use hdrhistogram::Histogram;
 use std::time::Duration;
 
--- /dev/null
+++ b/src/engine/budget.rs
@@ -0,0 +1,42 @@
+//! Bounds that parts of a process share: connections, bytes.
+
+use std::cell::Cell;
+use std::rc::Rc;
+
+/// So much of something may be in use, all together.
+pub struct Budget {
+    used: Cell<usize>,
+    most: usize,
+}
+
+/// A part of a budget, given back when it is dropped.
+pub struct Permit {
+    budget: Rc<Budget>,
+    part: usize,
+}
+
+impl Budget {
+    /// Room for so much.
+    pub fn new(most: usize) -> Rc<Self> {
+        Rc::new(Self { used: Cell::new(0), most })
+    }
+
+    /// There is room for none.
+    pub fn full(&self) -> bool {
+        self.used.get() >= self.most
+    }
+
+    /// Takes a part, if there is room for it.
+    pub fn take(self: &Rc<Self>, part: usize) -> Option<Permit> {
+        (part <= self.most - self.used.get()).then(|| {
+            self.used.set(self.used.get() + part);
+            Permit { budget: self.clone(), part }
+        })
+    }
+}
+
+impl Drop for Permit {
+    fn drop(&mut self) {
+        self.budget.used.set(self.budget.used.get() - self.part);
+    }
+}
--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -3,10 +3,12 @@
 //! [`Upstream`], and [`News`] of the list come as values. Events become calls of the module, its actions become I/O, and every
 //! request gets exactly one final answer.
 
+mod budget;
 mod clock;
 mod list;
 mod upstream;
 
+pub use budget::{Budget, Permit};
 pub use clock::Clock;
 pub use list::{Ask, Listed, News};
 pub use upstream::{Attempt, Done, Gate, Lease, Upstream};
--- a/src/engine/upstream.rs
+++ b/src/engine/upstream.rs
@@ -1,5 +1,5 @@
 //! What the engine needs of a kind of backend: to make one attempt, and to say exactly how it
-//! ended. HTTP implements it in `proxy/backend.rs`; other protocols do so beside it.
+//! ended. HTTP implements it in `crates/http`; other protocols do so in crates of their own.
 
 use super::clock::Clock;
 use crate::{Outcome, Report, Time};
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,8 +9,6 @@
 pub mod engine;
 mod interface;
 mod logic;
-pub mod proxy;
-pub mod serve;
 pub mod wire;
 
 pub use interface::*;
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,8 +1,6 @@
 //! A balancer with a clock, driven step by step, and what tests ask of it.
 #![allow(dead_code)]
 
-pub mod sockets;
-
 use gannetproxy::*;
 use std::collections::BTreeMap;
 
