The engine takes requests that one backend alone can do, and answers that go on

A statement in a transaction can go to one server alone, and a long result can't be held whole. Requests of the first kind go to their backend without asking the module; gate, deadline, bound and the one final answer hold. Answers of the second kind are handed on by their attempt once they have begun: they are the one answer from there on, the module is told Started, and no timer cuts them off. Neither is used by HTTP.

--- a/crates/dewpier/tests/proxy.rs
+++ b/crates/dewpier/tests/proxy.rs
@@ -7,8 +7,8 @@
 use dewpier_http::backend::{Answers, Http, Reuse};
 use dewpier_http::limits::Budget;
 use dewpier_http::payload::Payload;
-use gannetproxy::Outcome;
 use gannetproxy::engine::{Attempt, Clock, Gate, Upstream};
+use gannetproxy::{BackendId, Outcome};
 use serde_json::json;
 use std::io::Write;
 use std::net::TcpListener;
@@ -205,7 +205,14 @@
         };
         let gate = std::rc::Rc::new(Gate::default());
         gate.update(last_send);
-        let made = Attempt { gate, clock: Clock::start(), until: 20.0, written: Default::default() };
+        let made = Attempt {
+            gate,
+            backend: BackendId(1),
+            clock: Clock::start(),
+            until: 20.0,
+            written: Default::default(),
+            begin: Default::default(),
+        };
         let payload = Payload {
             method: "POST".parse().unwrap(),
             uri: "/api".parse().unwrap(),
--- a/crates/http/src/backend.rs
+++ b/crates/http/src/backend.rs
@@ -243,7 +243,7 @@
         &self,
         endpoint: Rc<Endpoint>,
         payload: Rc<Payload>,
-        attempt: Attempt,
+        attempt: Attempt<Served>,
     ) -> impl Future<Output = Done<Served>> + 'static {
         let answers = self.answers;
         async move {
@@ -252,7 +252,11 @@
         }
     }
 
-    fn probe(&self, endpoint: Rc<Endpoint>, attempt: Attempt) -> impl Future<Output = Done<()>> + 'static {
+    fn probe(
+        &self,
+        endpoint: Rc<Endpoint>,
+        attempt: Attempt<()>,
+    ) -> impl Future<Output = Done<()>> + 'static {
         let path = self.probe_path;
         async move {
             let request = || {
@@ -271,9 +275,9 @@
     }
 }
 
-async fn exchange(
+async fn exchange<R>(
     endpoint: &Endpoint,
-    attempt: &Attempt,
+    attempt: &Attempt<R>,
     answers: Answers,
     stake: Stake,
     request: impl Fn() -> Request<Full<Bytes>>,
--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -3,15 +3,17 @@
 //! [`Upstream`], and [`News`] of the list come as values. Events become calls of the module, its actions become I/O, and every
 //! request gets exactly one final answer.
 
+mod affine;
 mod budget;
 mod clock;
 mod list;
+mod streamed;
 mod upstream;
 
 pub use budget::{Budget, Permit};
 pub use clock::Clock;
 pub use list::{Ask, Listed, News};
-pub use upstream::{Attempt, Done, Gate, Lease, Upstream};
+pub use upstream::{Attempt, Begin, Done, Gate, Lease, Upstream};
 
 use crate::{
     Action, BackendId, Balancer, Ended, Entry, Event, ListUpdate, Outcome, Report, Request, RequestId,
@@ -93,6 +95,8 @@
     payload: Rc<U::Payload>,
     until: Time,
     attempts: usize,
+    /// One backend alone can do it: the module does not know of it.
+    affine: bool,
     /// The last error that a backend worded.
     fallback: Option<U::Reply>,
 }
@@ -102,6 +106,10 @@
     sent: Time,
     written: Rc<Cell<bool>>,
     task: AbortHandle,
+    /// As its request is.
+    affine: bool,
+    /// Its answer has begun, and is with the client.
+    streams: bool,
 }
 
 /// What was seen of a backend since that was asked last.
@@ -276,7 +284,8 @@
         let until = now + request.budget - 0.5 * ANSWER_WAY;
         request.budget -= ANSWER_WAY;
         let payload = Rc::new(payload);
-        state.open.insert(request.id, Open { txn, answer, payload, until, attempts: 0, fallback: None });
+        let open = Open { txn, answer, payload, until, attempts: 0, affine: false, fallback: None };
+        state.open.insert(request.id, open);
         self.set_timer(&mut state, until, Due::Request(request.id));
         let id = request.id;
         if !self.lease.holds() || !state.held.is_empty() {
@@ -294,7 +303,11 @@
     /// The client has left. Nothing happens if the request has had its answer.
     pub fn client_left(&self, id: RequestId) {
         let mut state = self.state.borrow_mut();
-        if close(&mut state, id).is_some() && !unheld(&mut state, id) {
+        let Some(open) = close(&mut state, id) else { return };
+        if open.affine {
+            return give_up(&mut state, id);
+        }
+        if !unheld(&mut state, id) {
             state.told.push_back(Told::Event(Event::ClientLeft(id)));
             self.decide(state);
         }
@@ -373,6 +386,9 @@
         {
             let _ = open.answer.send(Answer::Served(served)); // if it has left, its guard tells
         }
+        if running.affine {
+            return affine::end(state, id, done.outcome, done.fallback);
+        }
         if let (Some(fallback), Some(open)) = (done.fallback, state.open.get_mut(&id)) {
             open.fallback = Some(fallback);
         }
@@ -480,7 +496,9 @@
         open.attempts += 1;
         let until = if timeout == 0.0 { open.until } else { (now + timeout).min(open.until) };
         let written = Rc::new(Cell::new(false));
-        let made = Attempt { gate, clock: self.clock, until, written: written.clone() };
+        let affine = open.affine;
+        let begin = self.begins(id, attempt);
+        let made = Attempt { gate, backend, clock: self.clock, until, written: written.clone(), begin };
         let attempted = self.upstream.attempt(endpoint, open.payload.clone(), made);
         let task = tokio::task::spawn_local(async move {
             let done = attempted.await;
@@ -491,14 +509,23 @@
             counts.in_flight += 1;
             counts.sent += 1;
         }
-        state.running.insert((id, attempt), Running { backend, sent: now, written, task });
+        state
+            .running
+            .insert((id, attempt), Running { backend, sent: now, written, task, affine, streams: false });
         self.set_timer(state, until, Due::Attempt(id, attempt));
     }
 
     fn probe(&self, state: &State<U>, backend: BackendId) {
         if let (Some(known), Some(engine)) = (state.endpoints.get(&backend), self.this.upgrade()) {
             let (gate, written) = (known.gate.clone(), Rc::default());
-            let made = Attempt { gate, clock: self.clock, until: Time::INFINITY, written };
+            let made = Attempt {
+                gate,
+                backend,
+                clock: self.clock,
+                until: Time::INFINITY,
+                written,
+                begin: Begin::default(),
+            };
             let probed = self.upstream.probe(known.endpoint.clone(), made);
             tokio::task::spawn_local(async move {
                 let done = probed.await;
@@ -558,6 +585,8 @@
             late = late.max(now - at.0);
             match due {
                 Due::Token(token) => state.told.push_back(Told::Event(Event::Timer(token))),
+                Due::Attempt(id, attempt) if state.running.get(&(id, attempt)).is_some_and(|r| r.streams) => {
+                }
                 Due::Attempt(id, attempt) => {
                     let written = state.running.get(&(id, attempt)).is_some_and(|r| r.written.get());
                     let outcome = if written { Outcome::Timeout } else { Outcome::NoConnection };
@@ -569,7 +598,9 @@
                 }
                 Due::Held => self.release(&mut state, now),
                 Due::Request(id) => {
-                    if state.open.contains_key(&id) {
+                    if state.open.get(&id).is_some_and(|open| open.affine) {
+                        affine::late(&mut state, id);
+                    } else if state.open.contains_key(&id) {
                         answer(&mut state, id, Answer::Failed);
                         state.told.push_back(Told::Event(Event::ClientLeft(id)));
                     }
@@ -608,6 +639,16 @@
     Some(open)
 }
 
+/// Ends the attempt of a request that the module does not know of.
+fn give_up<U: Upstream>(state: &mut State<U>, id: RequestId) {
+    if let Some(running) = state.running.remove(&(id, 0)) {
+        running.task.abort();
+        if let Some(known) = state.endpoints.get_mut(&running.backend) {
+            known.counts.in_flight = known.counts.in_flight.saturating_sub(1);
+        }
+    }
+}
+
 /// Takes out a request that is held back from the module, if it is.
 fn unheld<U: Upstream>(state: &mut State<U>, id: RequestId) -> bool {
     let place = state.held.iter().position(|(_, held)| held.id == id);
--- a/src/engine/upstream.rs
+++ b/src/engine/upstream.rs
@@ -2,7 +2,7 @@
 //! ended. HTTP implements it in `crates/http`; other protocols do so in crates of their own.
 
 use super::clock::Clock;
-use crate::{Outcome, Report, Time};
+use crate::{BackendId, Outcome, Report, Time};
 use std::cell::Cell;
 use std::future::Future;
 use std::net::SocketAddr;
@@ -81,12 +81,14 @@
     }
 }
 
-/// What the engine gives an attempt besides its payload.
+/// What the engine gives an attempt besides its payload; its replies are of type `R`.
 #[derive(Clone, Debug)]
-pub struct Attempt {
+pub struct Attempt<R> {
     /// To be asked right before the first byte goes out: where it says no, the attempt ends with
     /// [`Outcome::NoConnection`], or with [`Outcome::NeverSent`] where the whole list is not lent any more.
     pub gate: Rc<Gate>,
+    /// Which backend it goes to.
+    pub backend: BackendId,
     /// The engine's clock.
     pub clock: Clock,
     /// When the engine stops waiting, at the latest.
@@ -94,6 +96,37 @@
     /// To be set as soon as any of the request may have gone out, and back where it is known that
     /// it can't have run: from then on a break may hide a request that runs.
     pub written: Rc<Cell<bool>>,
+    /// How it hands on an answer that has begun and goes on.
+    pub begin: Begin<R>,
+}
+
+/// Takes an answer that has begun: it is the request's one answer from there on, no other attempt is made or
+/// waited for, and the engine sets no time limit any more. The attempt goes on until all of it has come.
+pub struct Begin<R>(pub(super) Option<Rc<dyn Fn(R) -> bool>>);
+
+impl<R> Begin<R> {
+    /// Hands it on. False where the request has had its answer, or its client has left: the attempt is to end.
+    pub fn with(&self, reply: R) -> bool {
+        self.0.as_ref().is_some_and(|begin| begin(reply))
+    }
+}
+
+impl<R> Default for Begin<R> {
+    fn default() -> Self {
+        Self(None)
+    }
+}
+
+impl<R> Clone for Begin<R> {
+    fn clone(&self) -> Self {
+        Self(self.0.clone())
+    }
+}
+
+impl<R> std::fmt::Debug for Begin<R> {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("Begin")
+    }
 }
 
 /// How an attempt or probe ended.
@@ -155,13 +188,13 @@
         &self,
         endpoint: Rc<Self::Endpoint>,
         payload: Rc<Self::Payload>,
-        attempt: Attempt,
+        attempt: Attempt<Self::Reply>,
     ) -> impl Future<Output = Done<Self::Reply>> + 'static;
 
     /// Sees whether a backend answers, within a time limit of its own.
     fn probe(
         &self,
         endpoint: Rc<Self::Endpoint>,
-        attempt: Attempt,
+        attempt: Attempt<()>,
     ) -> impl Future<Output = Done<()>> + 'static;
 }
