A MySQL front and its servers on the engine: text and prepared statements, sessions

Member factories reach their databases directly; one slow replica stalls a morning. crates/mysql takes logins on both sides (mysql_native_password, caching_sha2_password by its short path), tells what a statement is to its session, keeps sessions free unless a transaction or state holds them, repeats reads alone, and says of what is lost what is true: not done, rolled back, or not known. SQL_CALC_FOUND_ROWS is not repeated any more.

Tested with the libraries mysql and mysql_async before a stand-in server of our own, straight and through the proxy.

--- /dev/null
+++ b/crates/mysql/src/io/wire.rs
@@ -0,0 +1,104 @@
+//! Packets on a socket.
+
+use crate::packet::{FrameError, Packets, write};
+use bytes::BytesMut;
+use std::io;
+use thiserror::Error;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+/// So much is asked of the socket at a time.
+const READ: usize = 16 << 10;
+
+/// Why there is no next packet.
+#[derive(Debug, Error)]
+pub(super) enum WireError {
+    /// The connection broke, or ended.
+    #[error("{0}")]
+    Io(#[from] io::Error),
+    /// What came is no packet.
+    #[error("{0}")]
+    Frame(#[from] FrameError),
+}
+
+/// One side of a connection.
+pub(super) struct Wire {
+    stream: TcpStream,
+    read: BytesMut,
+    packets: Packets,
+}
+
+impl Wire {
+    /// A connection on which packets of so many bytes at most are read.
+    pub fn new(stream: TcpStream, most: usize) -> Self {
+        let _ = stream.set_nodelay(true); // it still works if not
+        Self { stream, read: BytesMut::new(), packets: Packets::new(most) }
+    }
+
+    /// From now on packets of so many bytes at most.
+    pub fn bound(&mut self, most: usize) {
+        self.packets.bound(most);
+    }
+
+    /// The next exchange begins with that number.
+    pub fn expect(&mut self, sequence: u8) {
+        self.packets.expect(sequence);
+    }
+
+    /// The number that is next.
+    pub fn sequence(&self) -> u8 {
+        self.packets.sequence()
+    }
+
+    /// The next packet. Nothing is lost if it is dropped before.
+    pub async fn next(&mut self) -> Result<BytesMut, WireError> {
+        loop {
+            if let Some(packet) = self.packets.next(&mut self.read)? {
+                return Ok(packet);
+            }
+            self.read.reserve(READ);
+            if self.stream.read_buf(&mut self.read).await? == 0 {
+                return Err(io::Error::from(io::ErrorKind::UnexpectedEof).into());
+            }
+        }
+    }
+
+    /// Part of a packet has come, and not the rest.
+    pub fn begun(&self) -> bool {
+        !self.read.is_empty()
+    }
+
+    /// Writes a packet with the number that is next.
+    pub async fn send(&mut self, payload: &[u8]) -> io::Result<()> {
+        let mut out = BytesMut::with_capacity(payload.len() + 64);
+        let after = write(&mut out, payload, self.packets.sequence());
+        self.packets.expect(after);
+        self.stream.write_all(&out).await
+    }
+
+    /// Writes frames as they are.
+    pub async fn pass(&mut self, frames: &[u8]) -> io::Result<()> {
+        self.stream.write_all(frames).await
+    }
+
+    /// Nothing has come, and the other side has not closed: between two exchanges anything else spoils it.
+    pub fn quiet(&self) -> bool {
+        let mut one = [0];
+        let nothing =
+            matches!(self.stream.try_read(&mut one), Err(e) if e.kind() == io::ErrorKind::WouldBlock);
+        nothing && self.read.is_empty()
+    }
+
+    /// Waits until the other side has left. Where it says something instead, it is not watched any further.
+    pub async fn left(&self) {
+        let spoke = !self.read.is_empty() || matches!(self.stream.peek(&mut [0]).await, Ok(1..));
+        if spoke {
+            std::future::pending::<()>().await;
+        }
+    }
+
+    /// Says that nothing more comes, so that what was written last is read before the end.
+    pub async fn close(mut self) {
+        let _ = self.stream.shutdown().await; // it ends either way
+    }
+}
--- a/crates/mysql/src/repeat.rs
+++ b/crates/mysql/src/repeat.rs
@@ -16,7 +16,7 @@
 /// A text longer than this, in bytes, is not looked into.
 pub const MOST_TEXT: usize = 64 << 10;
 /// Nesting that is followed; what is nested deeper does not parse.
-const DEPTH: usize = 50;
+pub(crate) const DEPTH: usize = 50;
 
 /// Why a statement may not be repeated.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, thiserror::Error)]
@@ -43,6 +43,9 @@
     /// It writes its result somewhere.
     #[error("its result goes elsewhere")]
     Into,
+    /// It leaves something for the next statement.
+    #[error("it leaves something for the next statement")]
+    Leaves,
     /// It reads or writes variables of the session.
     #[error("it uses variables of the session")]
     Variable,
@@ -272,6 +275,11 @@
     }
 }
 
+/// A function, by its name in small letters, without effect and without regard to the session.
+pub(crate) fn is_pure(name: &str) -> bool {
+    PURE.binary_search(&name).is_ok()
+}
+
 struct Look;
 
 fn no(why: Unsafe) -> ControlFlow<Unsafe> {
@@ -317,6 +325,10 @@
     }
 
     fn pre_visit_select(&mut self, select: &Select) -> ControlFlow<Unsafe> {
+        // For FOUND_ROWS(), which the next statement may ask.
+        if select.select_modifiers.as_ref().is_some_and(|modifiers| modifiers.sql_calc_found_rows) {
+            return no(Unsafe::Leaves);
+        }
         if select.into.is_some() { no(Unsafe::Into) } else { ControlFlow::Continue(()) }
     }
 
@@ -350,7 +362,7 @@
                 let known = part.as_ident().filter(|ident| ident.quote_style.is_none());
                 let known = known.map(|ident| ident.value.to_ascii_lowercase());
                 match known {
-                    Some(name) if PURE.binary_search(&name.as_str()).is_ok() => ControlFlow::Continue(()),
+                    Some(name) if is_pure(&name) => ControlFlow::Continue(()),
                     _ => no(Unsafe::Call),
                 }
             }
@@ -413,6 +425,7 @@
             ("SELECT * FROM t FOR SHARE SKIP LOCKED", Unsafe::Locks),
             ("SELECT * FROM (SELECT * FROM t FOR UPDATE) s", Unsafe::Locks),
             ("SELECT a FROM t WHERE b = (SELECT 1 FROM u FOR UPDATE)", Unsafe::Locks),
+            ("SELECT SQL_CALC_FOUND_ROWS a FROM t LIMIT 1", Unsafe::Leaves),
             ("SELECT @a := 1", Unsafe::Variable),
             ("SELECT @a", Unsafe::Variable),
             ("SELECT a FROM t WHERE b = @@session.sql_mode", Unsafe::Variable),
--- a/crates/mysql/src/reply.rs
+++ b/crates/mysql/src/reply.rs
@@ -2,6 +2,7 @@
 //! ("Text Resultset", "Binary Protocol Resultset", "COM_STMT_PREPARE Response", "OK_Packet" and "EOF_Packet"
 //! in MySQL's internals manual.)
 
+use crate::fields::integer;
 use crate::packet::FULL;
 use thiserror::Error;
 
@@ -116,37 +117,26 @@
     state: State,
     prepared: Option<Prepared>,
     rows: u64,
+    /// Something is left on the connection to be asked for.
+    leaves: bool,
 }
 
 fn short(what: &'static str, least: usize, found: usize) -> Broken {
     Broken::Short { what, least, found }
 }
 
-/// The bytes that an integer of variable length takes, and its value.
-fn integer(bytes: &[u8]) -> Option<(usize, u64)> {
-    let wide = |n: usize| {
-        let bytes = bytes.get(1..=n)?;
-        Some((n + 1, bytes.iter().rev().fold(0, |sum, byte| sum << 8 | u64::from(*byte))))
-    };
-    match bytes.first()? {
-        n @ 0..=0xfa => Some((1, u64::from(*n))),
-        0xfc => wide(2),
-        0xfd => wide(3),
-        0xfe => wide(8),
-        _ => None,
-    }
-}
-
 fn two(bytes: &[u8], at: usize) -> Option<u16> {
     Some(u16::from_le_bytes(bytes.get(at..at + 2)?.try_into().ok()?))
 }
 
-/// The status flags of an OK packet: behind two integers of variable length.
-fn ok_status(head: &[u8]) -> Result<u16, Broken> {
+/// The status flags of an OK packet, behind two integers of variable length; and whether it leaves something to
+/// be asked for.
+fn ok_status(head: &[u8]) -> Result<(u16, bool), Broken> {
     let status = || {
         let (rows, _) = integer(head.get(1..)?)?;
-        let (id, _) = integer(head.get(1 + rows..)?)?;
-        two(head, 1 + rows + id)
+        let (bytes, id) = integer(head.get(1 + rows..)?)?;
+        let at = 1 + rows + bytes;
+        Some((two(head, at)?, id > 0 || two(head, at + 2).unwrap_or(0) > 0))
     };
     status().ok_or(short("an OK", 7, head.len()))
 }
@@ -159,7 +149,7 @@
             Answers::Fields => State::Fields,
             _ => State::First,
         };
-        Self { answers, deprecate_eof, state, prepared: None, rows: 0 }
+        Self { answers, deprecate_eof, state, prepared: None, rows: 0, leaves: false }
     }
 
     /// Rows that came so far.
@@ -167,6 +157,11 @@
         self.rows
     }
 
+    /// Something is left on the connection to be asked for: a generated id, or warnings.
+    pub fn leaves(&self) -> bool {
+        self.leaves
+    }
+
     /// It is over: nothing more may come.
     pub fn is_over(&self) -> bool {
         self.state == State::Over
@@ -197,6 +192,10 @@
         }
         match self.state {
             State::First => self.first(first, head, length),
+            // All catalogs are called "def": what is none shows that the count was garbled.
+            State::Columns(_) if !head.starts_with(b"\x03def") => {
+                Err(Broken::Unexpected { what: "a column", expected: "its definition", found: first })
+            }
             State::Columns(left) => {
                 self.state = match left.saturating_sub(1) {
                     0 if self.deprecate_eof => State::Rows,
@@ -247,7 +246,7 @@
                 })
             }
             (Answers::Results | Answers::Ok, 0x00) => {
-                let status = ok_status(head)?;
+                let status = self.ok(head)?;
                 Ok(self.further(status))
             }
             (Answers::Ok, 0xfe) if self.ends(first, length) => {
@@ -274,13 +273,20 @@
     }
 
     /// The status of what ends rows. Servers send the short EOF in places where OK was agreed on, too.
-    fn end_status(&self, head: &[u8]) -> Result<u16, Broken> {
+    fn end_status(&mut self, head: &[u8]) -> Result<u16, Broken> {
         if self.deprecate_eof && head.len() >= 7 {
-            return ok_status(head);
+            return self.ok(head);
         }
+        self.leaves |= two(head, 1).unwrap_or(0) > 0;
         two(head, 3).ok_or(short("an EOF", 5, head.len()))
     }
 
+    fn ok(&mut self, head: &[u8]) -> Result<u16, Broken> {
+        let (status, leaves) = ok_status(head)?;
+        self.leaves |= leaves;
+        Ok(status)
+    }
+
     fn eof(&self, what: &'static str, first: u8, head: &[u8], length: usize) -> Result<u16, Broken> {
         if first != 0xfe || length >= 9 {
             return Err(Broken::Unexpected { what, expected: "an EOF", found: first });
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -8,10 +8,12 @@
 pub mod faulty;
 pub mod load;
 pub mod message;
+pub mod mysql;
 pub mod played;
 pub mod relay;
 pub mod rng;
 pub mod shop;
+pub mod spoiler;
 
 use std::sync::mpsc::Receiver;
 use std::time::{Duration, Instant};
