dewpier serve takes MySQL clients: [mysql] in its configuration, a page, an example

Off where the table is not there. Lists of its own, a second one for replicas that read; users and the servers' password in files apart. The feeding of lists to an engine is one file now (feed.rs), whatever the front. `dewpier check` reads all files; `dewpier mysql hash` makes a user's hash.

--- a/crates/dewpier/src/command.rs
+++ b/crates/dewpier/src/command.rs
@@ -1,12 +1,13 @@
 //! The command line. Without arguments the program is the platform's proxy, as ever.
 
 use clap::{Args, Parser, Subcommand};
-use dewpier::config::{Config, ListFrom, PlannerConfig};
+use dewpier::config::{Config, ListFrom, MySqlConfig, PlannerConfig, hash};
 use dewpier::error::ServeError;
 use dewpier::{planner, run, status};
 use dewpier_inventory::io::{confirm, read_file};
 use dewpier_inventory::{Encoding, Format, Inventory, Options};
 use serde::Serialize;
+use std::io::{BufRead, Read};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
@@ -40,6 +41,19 @@
     /// Look at inventories
     #[command(subcommand)]
     Inventory(OfInventory),
+    /// For the front for MySQL clients
+    #[command(subcommand)]
+    Mysql(OfMysql),
+}
+
+#[derive(Subcommand)]
+enum OfMysql {
+    /// Read a password from standard input and print what a file of users holds of it
+    Hash {
+        /// For clients that know mysql_native_password alone
+        #[arg(long)]
+        native: bool,
+    },
 }
 
 #[derive(Args)]
@@ -108,6 +122,7 @@
             let options = Options { format, encoding, group, default_port, ..Options::default() };
             check_inventory(&file, &options, json)
         }
+        Command::Mysql(OfMysql::Hash { native }) => hash_password(native),
         Command::Inventory(OfInventory::Confirm { file }) => {
             match confirm(&file, Options::default().max_bytes) {
                 Ok(beside) => {
@@ -227,14 +242,38 @@
             return ExitCode::SUCCESS;
         }
     };
-    match read_file(&inventory.file, &inventory.options) {
-        Ok(list) => {
-            notes(&inventory.file, &list);
-            println!("{}: good", path.display());
-            summary(&inventory.file, &list);
+    let mysql = config.mysql.as_ref();
+    if let Some(Err(error)) = mysql.map(|mysql| mysql.secrets()) {
+        return bad(error);
+    }
+    let mut lists = Vec::new();
+    for inventory in [inventory].into_iter().chain(mysql.into_iter().flat_map(MySqlConfig::inventories)) {
+        match read_file(&inventory.file, &inventory.options) {
+            Ok(list) => lists.push((&inventory.file, list)),
+            Err(error) => return bad(error),
+        }
+    }
+    lists.iter().for_each(|(file, list)| notes(file, list));
+    println!("{}: good", path.display());
+    lists.iter().for_each(|(file, list)| summary(file, list));
+    ExitCode::SUCCESS
+}
+
+/// The longest password that is read, in bytes.
+const MOST_PASSWORD: u64 = 1024;
+
+fn hash_password(native: bool) -> ExitCode {
+    let mut password = String::new();
+    match std::io::stdin().lock().take(MOST_PASSWORD + 1).read_line(&mut password) {
+        Ok(1..)
+            if password.len() as u64 <= MOST_PASSWORD
+                && !password.trim_end_matches(['\r', '\n']).is_empty() =>
+        {
+            println!("{}", hash(password.trim_end_matches(['\r', '\n']), native));
             ExitCode::SUCCESS
         }
-        Err(error) => bad(error),
+        Ok(_) => bad(format!("standard input: expected a password of 1 to {MOST_PASSWORD} bytes")),
+        Err(error) => bad(format!("standard input: {error}")),
     }
 }
 
--- a/crates/dewpier/src/config/mod.rs
+++ b/crates/dewpier/src/config/mod.rs
@@ -3,6 +3,7 @@
 mod check;
 mod classes;
 mod inventory;
+mod mysql;
 mod planner;
 mod planners;
 mod secured;
@@ -11,6 +12,7 @@
 
 pub use check::ConfigError;
 pub use inventory::Inventory;
+pub use mysql::{MySqlConfig, Secrets, hash};
 pub use planner::PlannerConfig;
 pub use planners::Planners;
 
@@ -20,6 +22,7 @@
 use dewpier_http::routes::Routes;
 use gannetproxy::Settings;
 use inventory::{RawInventory, inventory};
+use mysql::{RawMySql, mysql};
 use planners::{RawPlanners, planners};
 use secured::fitting;
 use serde::Deserialize;
@@ -45,6 +48,8 @@
     pub wire: WireSettings,
     /// Which requests belong to which class.
     pub routes: Routes,
+    /// A front for MySQL clients beside it, if there is to be one.
+    pub mysql: Option<MySqlConfig>,
 }
 
 /// Where a list of backends comes from.
@@ -72,6 +77,7 @@
     instances: RawInstances,
     #[serde(default)]
     class: Vec<RawClass>,
+    mysql: Option<RawMySql>,
 }
 
 #[derive(Default, Deserialize)]
@@ -171,6 +177,7 @@
             settings,
             wire,
             routes: Routes::new(routes),
+            mysql: file.mysql.as_ref().map(|raw| mysql(raw, &file.zone, path)).transpose()?,
         })
     }
 }
--- a/crates/dewpier/src/lib.rs
+++ b/crates/dewpier/src/lib.rs
@@ -8,8 +8,10 @@
 
 pub mod config;
 pub mod error;
+mod feed;
 pub mod lists;
 pub mod members;
+mod mysql;
 pub mod planner;
 pub mod platform;
 pub mod run;
--- /dev/null
+++ b/crates/dewpier/tests/mysql.rs
@@ -0,0 +1,131 @@
+//! `dewpier serve` with a front for MySQL clients, from outside: a real client library, stand-in servers, an
+//! inventory that is rewritten, and the stop.
+
+#[path = "common/served.rs"]
+mod served;
+
+use dewpier_standins::mysql::{Asked, MySqlServer, Reply};
+use dewpier_standins::wait_for;
+use mysql::prelude::Queryable;
+use served::*;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::process::{Command, Stdio};
+use std::time::Duration;
+
+fn answer(asked: &Asked) -> Reply {
+    match asked.text.starts_with("SELECT") {
+        true => Reply::Rows(vec!["a"], vec![vec![Some("7".into())]]),
+        false => Reply::Late(Duration::from_millis(300), Box::new(Reply::Ok(1, 0))),
+    }
+}
+
+fn inventory(servers: &[(&MySqlServer, &str)]) -> String {
+    let row = |(i, (server, state)): (usize, &(&MySqlServer, &str))| {
+        format!("s{i},127.0.0.1,{},{state}\n", server.address.port())
+    };
+    let rows: String = servers.iter().enumerate().map(row).collect();
+    format!("id,address,port,state\n{rows}")
+}
+
+fn client(address: SocketAddr) -> mysql::Result<mysql::Conn> {
+    let options = mysql::OptsBuilder::new()
+        .ip_or_hostname(Some("127.0.0.1"))
+        .tcp_port(address.port())
+        .user(Some("planner"))
+        .pass(Some("oak"))
+        .prefer_socket(false)
+        .max_allowed_packet(Some(1 << 20));
+    mysql::Conn::new(options)
+}
+
+#[test]
+fn a_front_for_mysql_clients_is_served_beside_http_and_follows_its_own_inventory() {
+    let servers = [MySqlServer::start("elm", answer), MySqlServer::start("elm", answer)];
+    let folder = folder("mysql");
+    let write = |name: &str, text: &str| std::fs::write(folder.join(name), text).unwrap();
+    let mut hashing = Command::new(env!("CARGO_BIN_EXE_dewpier"))
+        .args(["mysql", "hash"])
+        .stdin(Stdio::piped())
+        .stdout(Stdio::piped())
+        .spawn()
+        .unwrap();
+    hashing.stdin.take().unwrap().write_all(b"oak\n").unwrap();
+    let hash = String::from_utf8(hashing.wait_with_output().unwrap().stdout).unwrap();
+    write("users.toml", &format!("[users]\nplanner = \"{}\"\n", hash.trim()));
+    write("password", "elm\n");
+    write("servers.csv", &inventory(&[(&servers[0], "serving"), (&servers[1], "serving")]));
+    write("nodes.csv", "id,address,port\nb,127.0.0.1,1\n");
+    let file = |name: &str| folder.join(name).display().to_string();
+    let settings = format!(
+        "[mysql]\nlisten = \"127.0.0.1:0\"\nusers = \"{}\"\nserver_user = \"dewpier\"\n\
+         server_password_file = \"{}\"\n[mysql.inventory]\nfile = \"{}\"\nsettle_ms = 20\nmax_vanish = 0.9\n",
+        file("users.toml"),
+        file("password"),
+        file("servers.csv"),
+    );
+    let proxy = Served::of(&folder.join("nodes.csv"), &settings);
+    let (_, line) = proxy.logged(0, "listening for MySQL on ");
+    let address: SocketAddr = line.rsplit(' ').next().unwrap().parse().unwrap();
+    let mut first = client(address).unwrap();
+    for _ in 0..20 {
+        assert_eq!(first.query_first::<String, _>("SELECT a FROM t").unwrap().as_deref(), Some("7"));
+    }
+    first.query_drop("INSERT INTO t VALUES (1)").unwrap();
+
+    let from = proxy.lines();
+    write("servers.csv", &inventory(&[(&servers[0], "draining"), (&servers[1], "serving")]));
+    proxy.logged(from, "1 of them serving");
+    std::thread::sleep(Duration::from_millis(500));
+    let before = servers[0].statements().len();
+    for _ in 0..20 {
+        first.query_drop("SELECT a FROM t").unwrap();
+    }
+    assert_eq!(servers[0].statements().len(), before);
+
+    let running = std::thread::spawn(move || first.query_drop("INSERT INTO t VALUES (2)"));
+    wait_for("statement", || servers[1].count("INSERT INTO t VALUES (2)") == 1);
+    proxy.stop();
+    assert!(running.join().unwrap().is_ok(), "it was taken");
+    assert!(client(address).is_err());
+}
+
+#[test]
+fn the_checked_example_is_good_and_what_is_wrong_is_told_with_its_place() {
+    let deploy = Path::new(concat!(env!("CARGO_MANIFEST_DIR"), "/../../deploy"));
+    let check = |path: &Path| {
+        let output = Command::new(env!("CARGO_BIN_EXE_dewpier"))
+            .args(["check", "--config"])
+            .arg(path)
+            .output()
+            .unwrap();
+        (
+            output.status.code(),
+            String::from_utf8(output.stdout).unwrap(),
+            String::from_utf8(output.stderr).unwrap(),
+        )
+    };
+    let (code, told, _) = check(&deploy.join("mysql.toml"));
+    assert!(code == Some(0) && told.contains("3 backends"), "{told}");
+    let good = std::fs::read_to_string(deploy.join("mysql.toml")).unwrap();
+    let folder = folder("checked");
+    for name in ["nodes.csv", "mysql-servers.csv", "mysql-replicas.csv", "mysql-users.toml", "mysql-password"]
+    {
+        std::fs::copy(deploy.join(name), folder.join(name)).unwrap();
+    }
+    for (from, to, place, words) in [
+        ("127.0.0.1:3307", "0.0.0.0:3307", "mysql.toml:10:10", "a loopback address"),
+        ("read_aim_ms = 1000", "read_aim_ms = 20000", "mysql.toml:14:15", "1 to 10000"),
+        ("hold_kb = 1024 ", "hold_kb = 999999 ", "mysql.toml:18:11", "0 to 131072"),
+        ("server_user = \"dewpier\"", "server_user = \"\"", "mysql.toml:12:15", "a name"),
+        ("mysql-password\"", "nothing\"", "nothing", "cannot read it"),
+        ("\"mysql-users.toml\"", "\"nodes.csv\"", "nodes.csv:", ""),
+    ] {
+        assert!(good.contains(from), "{from}");
+        let path = folder.join("mysql.toml");
+        std::fs::write(&path, good.replace(from, to)).unwrap();
+        let (code, _, told) = check(&path);
+        assert!(code == Some(2) && told.contains(place) && told.contains(words), "{to}: {told}");
+    }
+}
