MySQL upstream cut by job: connection, answer, bounds; newcomers past twice the bound go

Sessions past twice their bound are closed without a word: telling each of them could hold up to ten seconds of a descriptor.

--- a/crates/mysql/src/io/front.rs
+++ b/crates/mysql/src/io/front.rs
@@ -1,6 +1,8 @@
 //! Where MySQL clients connect: logins, their commands one after the other, and the graceful stop.
 
-use super::upstream::{MySql, Payload, Piece, Rest, Role, Served, Slot};
+use super::answer::{Piece, Rest, Served};
+use super::conn::Wanted;
+use super::upstream::{MySql, Payload, Role, Slot};
 use super::wire::{Wire, WireError};
 use crate::auth::{Kept, NONCE};
 use crate::error::{CON_COUNT, Error, NET_READ, PACKET_TOO_LARGE, PACKETS_OUT_OF_ORDER};
@@ -138,6 +140,10 @@
         tokio::task::spawn_local(async move {
             let front = &counted.0;
             let mut wire = Wire::new(stream, MOST_PACKET);
+            // Beyond that newcomers are not even told.
+            if front.sessions.get() > 2 * front.settings.most_sessions {
+                return;
+            }
             if front.sessions.get() > front.settings.most_sessions {
                 let error = Error::new(CON_COUNT, b"08004", "Too many connections");
                 let _ = timeout(LOGIN_WITHIN, wire.send(&error.packet())).await;
@@ -333,12 +339,14 @@
     async fn ask(&self, session: &Session, asked: &Asked<'_>, sent: &Sent) -> Answer<Served> {
         let payload = Payload {
             command: sent.command.as_ref().unwrap_or(&asked.command).clone(),
-            needs: sent.needs.clone(),
+            wanted: Wanted {
+                shape: session.shape,
+                session: asked.number,
+                database: session.database.clone(),
+                needs: sent.needs.clone(),
+            },
             prepares: sent.prepares.as_ref().map(|(number, _)| *number),
             answers: sent.answers,
-            shape: session.shape,
-            session: asked.number,
-            database: session.database.clone(),
             chooses: sent.chooses.clone(),
             hold: sent.hold,
             held: sent.held,
--- a/crates/mysql/src/io/upstream.rs
+++ b/crates/mysql/src/io/upstream.rs
@@ -1,51 +1,27 @@
 //! Servers that speak MySQL: kept connections, one exchange on them at a time, and the exact end of each.
 
-use super::wire::{Wire, WireError};
+use super::answer::{Answered, Cut, GOES_ON_WITHIN, Piece, Rest, Served, worded};
+use super::conn::{Conn, Wanted};
+use super::ways::Ways;
 use crate::error::{self, Error, GENERAL, UNKNOWN};
-use crate::login::{Credentials, Entry, MOST_PACKET, Shape, Step};
+use crate::login::{Credentials, Shape};
 use crate::packet;
-use crate::prepared::{self, Needed};
-use crate::reply::{Answers, Ended, HEAD, Reply};
-use crate::session::{Hold, INIT_DB, PING, RESET_CONNECTION};
-use bytes::{Bytes, BytesMut};
-use gannetproxy::engine::{Attempt, Begin, Budget, Done, Permit, Upstream};
+use crate::reply::{Answers, Ended, Reply};
+use crate::session::{Hold, PING};
+use bytes::Bytes;
+use gannetproxy::engine::{Attempt, Budget, Done, Upstream};
 use gannetproxy::{BackendId, Outcome};
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::net::TcpStream;
-use tokio::sync::mpsc;
 use tokio::time::{Instant, timeout};
 
 /// Part of the time after which servers close idle connections up to which one is used again.
 const REUSE_WITHIN: f64 = 0.7;
-/// Bytes of answers are counted, and passed on, in pieces of so many.
-const PIECE: usize = 16 << 10;
-/// Pieces that wait for the client, of an answer that is passed on as it comes.
-const AHEAD: usize = 4;
-/// Of such an answer more must come within this, and be taken.
-const GOES_ON_WITHIN: Duration = Duration::from_secs(60);
 /// What a probe logs in as.
 const PROBED: Shape = Shape { capabilities: 0, collation: 45 };
 
-/// A connection to a server, logged in.
-struct Conn {
-    wire: Wire,
-    _permit: Permit,
-    shape: Shape,
-    /// The database it is in.
-    database: Option<String>,
-    /// Whose it was last.
-    session: u64,
-    /// That session's prepared statements, by its numbers and the server's.
-    prepared: HashMap<u32, u32>,
-}
-
-/// Statements that are prepared on one connection at once; the one of the lowest number goes for a further one.
-const MOST_PREPARED: usize = 64;
-
 struct Idle {
     conn: Conn,
     since: Instant,
@@ -84,18 +60,12 @@
 pub struct Payload {
     /// The packet.
     pub command: Bytes,
-    /// The prepared statement that it is about, which is prepared where it is not yet.
-    pub needs: Option<Needed>,
+    /// What it needs of its connection.
+    pub wanted: Wanted,
     /// The session's number for the statement that it prepares.
     pub prepares: Option<u32>,
     /// How it is answered.
     pub answers: Answers,
-    /// What its answer must look like.
-    pub shape: Shape,
-    /// The session's number, which no other session has.
-    pub session: u64,
-    /// The database that it is to run in.
-    pub database: Option<String>,
     /// The one that it chooses.
     pub chooses: Option<String>,
     /// What holds its session while it runs.
@@ -106,34 +76,6 @@
     pub slot: Rc<Slot>,
 }
 
-/// What a server answered.
-pub struct Served {
-    /// The frames, as they go to the client.
-    pub frames: Bytes,
-    /// The number of the frame that comes next.
-    pub next: u8,
-    /// What comes behind them.
-    pub rest: Rest,
-    /// Their part of what answers may take.
-    _room: Vec<Permit>,
-}
-
-/// What comes behind the first frames of an answer.
-pub enum Rest {
-    /// Nothing: how it ended, and what holds the session from there on.
-    Over(Ended, Hold),
-    /// More. It is whole only where it ends by [`Piece::Over`].
-    Streams(mpsc::Receiver<Piece>),
-}
-
-/// A piece of an answer that is passed on as it comes.
-pub enum Piece {
-    /// Frames, and the number of the one that comes next.
-    Frames(Bytes, u8),
-    /// As [`Rest::Over`].
-    Over(Ended, Hold),
-}
-
 /// A server and the connections to it.
 pub struct Endpoint {
     address: Cell<SocketAddr>,
@@ -149,11 +91,11 @@
     }
 
     /// The one used last that fits. One in a database can't be made to be in none.
-    fn kept(&self, payload: &Payload, within: Duration) -> Option<Conn> {
+    fn kept(&self, wanted: &Wanted, within: Duration) -> Option<Conn> {
         loop {
             let mut idle = self.idle.borrow_mut();
             let fits = |conn: &Conn| {
-                conn.shape == payload.shape && (payload.database.is_some() || conn.database.is_none())
+                conn.shape == wanted.shape && (wanted.database.is_some() || conn.database.is_none())
             };
             let place = idle.iter().rposition(|idle| fits(&idle.conn) && idle.since.elapsed() < within)?;
             let Idle { conn, .. } = idle.remove(place);
@@ -185,19 +127,6 @@
     pub role: Role,
 }
 
-/// What an exchange needs of [`MySql`].
-#[derive(Clone)]
-struct Ways {
-    connections: Rc<Budget>,
-    answers: Rc<Budget>,
-    held: usize,
-    most_packet: usize,
-    connect_timeout: Duration,
-    keep: Duration,
-    own: Rc<Credentials>,
-    role: Role,
-}
-
 impl MySql {
     fn ways(&self) -> Ways {
         Ways {
@@ -208,7 +137,6 @@
             connect_timeout: self.connect_timeout,
             keep: self.idle_close.mul_f64(REUSE_WITHIN),
             own: self.own.clone(),
-            role: self.role,
         }
     }
 }
@@ -258,8 +186,8 @@
         payload: Rc<Payload>,
         attempt: Attempt<Served>,
     ) -> impl Future<Output = Done<Served>> + 'static {
-        let ways = self.ways();
-        async move { exchange(&endpoint, &payload, &attempt, &ways).await }
+        let (ways, role) = (self.ways(), self.role);
+        async move { exchange(&endpoint, &payload, &attempt, &ways, role).await }
     }
 
     fn probe(
@@ -288,231 +216,6 @@
     }
 }
 
-/// Why an answer can't be followed to its end.
-enum Cut {
-    /// The connection broke, or what came is no answer.
-    Broken,
-    /// A packet of it is longer than is carried.
-    Long,
-    /// It has begun to go out, and its client takes no more of it.
-    Untaken,
-}
-
-impl From<WireError> for Cut {
-    fn from(error: WireError) -> Self {
-        match error {
-            WireError::Frame(packet::FrameError::TooLong { .. }) => Self::Long,
-            _ => Self::Broken,
-        }
-    }
-}
-
-/// An answer that has come to its end.
-struct Answered {
-    /// Its frames, or what is left of them to pass on.
-    frames: BytesMut,
-    next: u8,
-    room: Vec<Permit>,
-    ended: Ended,
-    leaves: bool,
-    /// Where its beginning went to.
-    to: Option<mpsc::Sender<Piece>>,
-}
-
-impl Ways {
-    /// A new connection, logged in.
-    async fn connect(&self, address: SocketAddr, shape: Shape, session: u64) -> Option<Conn> {
-        let permit = self.connections.take(1)?;
-        let connected = async {
-            let mut wire = Wire::new(TcpStream::connect(address).await.ok()?, MOST_PACKET);
-            let mut entry = Entry::new(shape);
-            loop {
-                let said = wire.next().await.ok()?;
-                match entry.packet(&said, &self.own) {
-                    Ok(Step::Say(packet)) => wire.send(&packet).await.ok()?,
-                    Ok(Step::Wait) => {}
-                    Ok(Step::Done) => break,
-                    Err(unfit) => {
-                        eprintln!("dewpier: {address}: {unfit}");
-                        return None;
-                    }
-                }
-            }
-            wire.bound(self.most_packet);
-            Some(Conn { wire, _permit: permit, shape, database: None, session, prepared: HashMap::new() })
-        };
-        timeout(self.connect_timeout, connected).await.ok().flatten()
-    }
-
-    /// Reads an answer to its end. Past what is held it is passed on as it comes; `begun` then tells so.
-    async fn answer(
-        &self,
-        wire: &mut Wire,
-        mut reply: Reply,
-        begin: &Begin<Served>,
-        begun: &Cell<bool>,
-    ) -> Result<Answered, Cut> {
-        let (mut frames, mut room, mut to) = (BytesMut::new(), Vec::new(), None::<mpsc::Sender<Piece>>);
-        loop {
-            let sequence = wire.sequence();
-            let packet = match &to {
-                // Before it begins the engine's own timer sees to it.
-                None => wire.next().await?,
-                Some(_) => timeout(GOES_ON_WITHIN, wire.next()).await.map_err(|_| Cut::Broken)??,
-            };
-            packet::write(&mut frames, &packet, sequence);
-            let head = packet.get(..HEAD).unwrap_or(&packet);
-            if let Some(ended) = reply.packet(head, packet.len()).map_err(|_| Cut::Broken)? {
-                let (next, leaves) = (wire.sequence(), reply.leaves());
-                return Ok(Answered { frames, next, room, ended, leaves, to });
-            }
-            match &to {
-                Some(to) if frames.len() >= PIECE => {
-                    let piece = Piece::Frames(frames.split().freeze(), wire.sequence());
-                    let taken = timeout(GOES_ON_WITHIN, to.send(piece)).await;
-                    if !matches!(taken, Ok(Ok(()))) {
-                        return Err(Cut::Untaken);
-                    }
-                }
-                Some(_) => {}
-                None => {
-                    while room.len() * PIECE < frames.len() {
-                        let Some(permit) = self.answers.take(PIECE) else { break };
-                        room.push(permit);
-                    }
-                    if frames.len() > self.held || room.len() * PIECE < frames.len() {
-                        let (sender, receiver) = mpsc::channel(AHEAD);
-                        let (frames, next) = (frames.split().freeze(), wire.sequence());
-                        let rest = Rest::Streams(receiver);
-                        let _room = std::mem::take(&mut room);
-                        if !begin.with(Served { frames, next, rest, _room }) {
-                            return Err(Cut::Untaken);
-                        }
-                        begun.set(true);
-                        to = Some(sender);
-                    }
-                }
-            }
-        }
-    }
-}
-
-impl Conn {
-    /// A command of our own, which is answered by an OK or an error.
-    async fn asked(&mut self, command: &[u8]) -> Result<Ended, WireError> {
-        self.wire.expect(0);
-        self.wire.send(command).await?;
-        let packet = self.wire.next().await?;
-        let head = packet.get(..HEAD).unwrap_or(&packet);
-        let ended = Reply::new(Answers::Ok, false).packet(head, packet.len());
-        match ended {
-            Ok(Some(ended)) => Ok(ended),
-            _ => Err(std::io::Error::from(std::io::ErrorKind::InvalidData).into()),
-        }
-    }
-
-    /// Makes it what a command needs: nothing of another session is left on it, and it is in the right database.
-    /// None where it is spoilt; the server's error where it has no such database, or can't prepare the statement.
-    async fn made_fit(&mut self, payload: &Payload) -> Option<Result<(), Error>> {
-        if self.session != payload.session {
-            match self.asked(&[RESET_CONNECTION]).await {
-                // Statements that were prepared on it are gone with it.
-                Ok(Ended::Whole { .. }) => (self.session, self.prepared) = (payload.session, HashMap::new()),
-                _ => return None,
-            }
-        }
-        match &payload.database {
-            Some(name) if self.database.as_ref() != Some(name) => {
-                let command = [&[INIT_DB], name.as_bytes()].concat();
-                match self.asked(&command).await {
-                    Ok(Ended::Whole { .. }) => self.database = Some(name.clone()),
-                    Ok(Ended::Error(number)) => {
-                        let text = format!("dewpier: the server has no database '{name}' for this user");
-                        return Some(Err(Error::new(number, b"42000", text)));
-                    }
-                    Err(_) => return None,
-                }
-            }
-            _ => {}
-        }
-        match &payload.needs {
-            Some(needed) if !self.prepared.contains_key(&needed.number) => {
-                let command = [&[prepared::PREPARE], &needed.text[..]].concat();
-                match self.prepare(&command, payload).await {
-                    Ok(Ok(id)) => self.keep(needed.number, id).await.ok()?,
-                    Ok(Err(error)) => return Some(Err(error)),
-                    Err(_) => return None,
-                }
-            }
-            _ => {}
-        }
-        Some(Ok(()))
-    }
-
-    /// Has a statement prepared: the server's number for it, or its error.
-    async fn prepare(&mut self, command: &[u8], payload: &Payload) -> Result<Result<u32, Error>, WireError> {
-        let broken = || WireError::from(std::io::Error::from(std::io::ErrorKind::InvalidData));
-        self.wire.expect(0);
-        self.wire.send(command).await?;
-        let mut reply = Reply::new(Answers::Prepared, payload.deprecate_eof());
-        loop {
-            let packet = self.wire.next().await?;
-            let head = packet.get(..HEAD).unwrap_or(&packet);
-            match reply.packet(head, packet.len()) {
-                Ok(None) => {}
-                Ok(Some(Ended::Whole { prepared: Some(prepared), .. })) => return Ok(Ok(prepared.id)),
-                Ok(Some(Ended::Error(_))) => return Ok(Err(Error::read(&packet).map_err(|_| broken())?)),
-                _ => return Err(broken()),
-            }
-        }
-    }
-
-    /// Remembers a statement that is prepared on it.
-    async fn keep(&mut self, number: u32, id: u32) -> std::io::Result<()> {
-        self.prepared.insert(number, id);
-        if self.prepared.len() > MOST_PREPARED
-            && let Some(lowest) = self.prepared.keys().filter(|known| **known != number).min().copied()
-            && let Some(closed) = self.prepared.remove(&lowest)
-        {
-            self.wire.expect(0);
-            self.wire.send(&[&[prepared::CLOSE][..], &closed.to_le_bytes()].concat()).await?; // not answered
-        }
-        Ok(())
-    }
-
-    /// Sends a command, and what goes ahead of it.
-    async fn send(&mut self, payload: &Payload) -> std::io::Result<()> {
-        let ahead = payload.needs.iter().flat_map(|needed| &needed.ahead);
-        for command in ahead.chain([&payload.command]) {
-            self.wire.expect(0);
-            let Some(needed) = &payload.needs else {
-                self.wire.send(command).await?;
-                continue;
-            };
-            // Its number is the session's: the server has another.
-            let id = self.prepared.get(&needed.number).ok_or(std::io::ErrorKind::InvalidInput)?;
-            let mut command = BytesMut::from(&command[..]);
-            command.get_mut(1..5).into_iter().for_each(|bytes| bytes.copy_from_slice(&id.to_le_bytes()));
-            self.wire.send(&command).await?;
-        }
-        Ok(())
-    }
-}
-
-impl Payload {
-    fn deprecate_eof(&self) -> bool {
-        self.shape.capabilities & crate::capability::DEPRECATE_EOF != 0
-    }
-}
-
-/// An answer of one error of our own.
-fn worded(error: &Error, hold: Hold) -> Served {
-    let mut frames = BytesMut::new();
-    let next = packet::write(&mut frames, &error.packet(), 1);
-    let rest = Rest::Over(Ended::Error(error.number), hold);
-    Served { frames: frames.freeze(), next, rest, _room: Vec::new() }
-}
-
 fn done(outcome: Outcome, served: Option<Served>) -> Done<Served> {
     Done { outcome, served, fallback: None, report: None }
 }
@@ -531,18 +234,21 @@
     payload: &Payload,
     attempt: &Attempt<Served>,
     ways: &Ways,
+    role: Role,
 ) -> Done<Served> {
-    let (era, whose) = (endpoint.era.get(), (ways.role, attempt.backend));
+    let (era, whose) = (endpoint.era.get(), (role, attempt.backend));
     let mut conn = loop {
         let kept = match payload.held {
             true => payload.slot.take().filter(|conn| conn.wire.quiet()),
-            false => endpoint.kept(payload, ways.keep),
+            false => endpoint.kept(&payload.wanted, ways.keep),
         };
         let new = kept.is_none();
         let conn = match (kept, payload.held) {
             (Some(conn), _) => Some(conn),
             (None, true) => None,
-            (None, false) => ways.connect(endpoint.address.get(), payload.shape, payload.session).await,
+            (None, false) => {
+                ways.connect(endpoint.address.get(), payload.wanted.shape, payload.wanted.session).await
+            }
         };
         let Some(mut conn) = conn else {
             return done(Outcome::NoConnection, None);
@@ -555,7 +261,7 @@
         if !attempt.gate.may_send(&attempt.clock) {
             return done(Outcome::NoConnection, None);
         }
-        match conn.made_fit(payload).await {
+        match conn.made_fit(&payload.wanted).await {
             Some(Ok(())) => break conn,
             Some(Err(error)) => {
                 let hold = payload.hold.after(payload.answers, &Ended::Error(error.number), false);
@@ -572,10 +278,10 @@
         return done(Outcome::NoConnection, None);
     }
     attempt.written.set(true);
-    if conn.send(payload).await.is_err() {
+    if conn.send(&payload.command, &payload.wanted).await.is_err() {
         return done(Outcome::Reset, None);
     }
-    let reply = Reply::new(payload.answers, payload.deprecate_eof());
+    let reply = Reply::new(payload.answers, payload.wanted.deprecate_eof());
     let begun = Cell::new(false);
     let answered = ways.answer(&mut conn.wire, reply, &attempt.begin, &begun).await;
     let Answered { mut frames, next, room, ended, leaves, to } = match answered {
