A procedure that meets a read-only server halfway is not called on another one

Error 1290 was taken to say that nothing had run, for any statement that no connection held. A CALL may have written before it came to what the server forbids, and was sent to the next server: seen twice in a test that fails without this. What may be of parts now keeps its server's answer.

--- a/crates/mysql/src/io/upstream.rs
+++ b/crates/mysql/src/io/upstream.rs
@@ -302,8 +302,10 @@
     if ended == Ended::Error(error::SERVER_SHUTDOWN) && to.is_none() {
         return done(Outcome::Error, None);
     }
+    // Of what may be a procedure a part may have run before the server said no.
+    let may_be_parts = payload.held || payload.hold.state;
     let never_ran =
-        matches!(ended, Ended::Error(number) if error::never_ran(number)) && !payload.held && to.is_none();
+        matches!(ended, Ended::Error(number) if error::never_ran(number)) && !may_be_parts && to.is_none();
     if let (Some(name), Ended::Whole { .. }) = (&payload.chooses, ended) {
         conn.database = Some(name.clone());
     }
--- a/crates/mysql/tests/served.rs
+++ b/crates/mysql/tests/served.rs
@@ -299,6 +299,22 @@
     }
 }
 
+#[test]
+fn a_procedure_that_meets_a_read_only_server_halfway_is_not_called_again() {
+    let server = || {
+        MySqlServer::start(OWN, |asked| match asked.text.starts_with("CALL") {
+            true => {
+                Reply::Error(1290, "HY000", "The MySQL server is running with the --read-only option".into())
+            }
+            false => usual(asked),
+        })
+    };
+    let servers = [server(), server()];
+    let proxy = Proxy::before(&[&servers[0], &servers[1]]);
+    assert_eq!(error(proxy.client().query_drop("CALL place_order(7)")).0, 1290);
+    assert_eq!(servers.iter().map(|s| s.count("CALL place_order(7)")).sum::<usize>(), 1);
+}
+
 #[test]
 fn a_transaction_stays_on_its_connection_and_ends_truly_when_that_dies() {
     let servers = [MySqlServer::start(OWN, usual), MySqlServer::start(OWN, usual)];
