Cold members are no measure of which members are sound: the entry sheds after a replacement

Counted over all proxies by a probe that printed each attempt, in 2 s windows: of some 290 first attempts 80 go to newcomers, 100 are served, 240 are given up unanswered at their aim, and 100 of 400 requests are refused. The tiers behind it, and discovery, are calm.

Ruled out: list calls (17 changes in a window at the most), connections (NoConnection 0), repeats (15 of 300).

Cause: Balancer::sound in src/logic.rs measured members by the best of them. A newcomer is sent so little that nothing bad is known of it, so that those which did all the work counted as bad ones and their calls in flight as no load: `each` stayed under FEW, and the pressure was 0 while requests piled up. The best is now taken of those that are warm, and a cold one counts for its part of a backend.

The new test fails without the change.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -619,7 +619,7 @@
 
     /// Calls in flight at each sound backend, if all balancers have as many as this one.
     fn each(&self) -> f64 {
-        let sound = self.sound().count() as f64;
+        let sound = self.sound().map(|b| self.ramp(b)).sum::<f64>();
         let sharing = (self.settings.instances * self.subset.len()) as f64 / self.listed.len().max(1) as f64;
         self.crowd() * sharing.max(1.0) / sound.max(1.0)
     }
@@ -641,10 +641,12 @@
         self.by_id.len() - self.held - self.lost
     }
 
-    /// The members that are not far slower than the best.
+    /// The members that are not far slower than the best. A cold one is no measure: it gets so little that
+    /// nothing is known of it, and would make all that do the work look bad and an overload look like calm.
     fn sound(&self) -> impl Iterator<Item = usize> {
         let slow = |b: &usize| self.seen(&self.backends[*b]);
-        let best = self.subset.iter().map(slow).fold(f64::INFINITY, f64::min);
+        let warm = self.subset.iter().filter(|b| self.ramp(**b) >= 1.0);
+        let best = warm.map(slow).fold(f64::INFINITY, f64::min);
         self.subset.iter().copied().filter(move |b| slow(b) <= FAR_SLOWER * best)
     }
 
@@ -830,10 +832,10 @@
         if self.backends[backend].entry.status != Status::InService {
             return false;
         }
-        let (from, cold) = (self.settings.cold_share, self.settings.cold);
-        let Some(started) = self.backends[backend].entry.started.filter(|s| self.now < s + cold) else {
+        let ramp = self.ramp(backend);
+        if ramp >= 1.0 {
             return true;
-        };
+        }
         if !self.subset.contains(&backend) {
             return false; // its budget is the members'
         }
@@ -844,7 +846,6 @@
         let rate = self.backends[backend].entry.usual.map_or(rate, |usual| usual.min(rate));
         let multiple = COLD_MARGIN * self.settings.fall_multiple;
         let b = &mut self.backends[backend];
-        let ramp = from + (1.0 - from) * ((self.now - started) / cold).clamp(0.0, 1.0);
         let allowed = rate * ramp * multiple;
         // What was saved must not come at once from many balancers: parts of a request are drawn
         // lots for and then gone, not kept until they make a whole.
@@ -853,6 +854,13 @@
         b.cold.room >= 1.0
     }
 
+    /// Part of its capacity that a backend has at the least.
+    fn ramp(&self, backend: usize) -> f64 {
+        let (from, cold) = (self.settings.cold_share, self.settings.cold);
+        let started = self.backends[backend].entry.started.filter(|s| self.now < s + cold);
+        started.map_or(1.0, |s| from + (1.0 - from) * ((self.now - s) / cold).clamp(0.0, 1.0))
+    }
+
     // ---- It ends ----
 
     /// It ends from outside: its stream has begun, or its caller has left.
--- a/tests/entry.rs
+++ b/tests/entry.rs
@@ -190,3 +190,26 @@
     assert!(sent.len() > 50, "{} of {} were sent", sent.len(), held.len());
     assert!(sent.is_sorted(), "overtaken");
 }
+
+#[test]
+fn members_that_are_cold_do_not_make_an_overload_look_like_calm() {
+    // Six of ten had been replaced. The newcomers were given next to nothing, so that nothing bad was seen
+    // of them: beside them those that did all the work counted as bad ones, whose calls are no overload.
+    // The entry let everything in, until all answers came too late.
+    let queued = |newcomers: u32| {
+        let settings = Settings { cold: 1000.0, cold_share: 0.01, fall_multiple: 3.0, ..one_class() };
+        let mut looped = Loop::new(settings, 100, 3, 0.2, 1);
+        let started = |i| (i >= 3).then_some(30.0);
+        let list: Vec<Entry> = (0..3 + newcomers)
+            .map(|i| Entry { id: BackendId(i), started: started(i), ..Entry::default() })
+            .collect();
+        looped.balancer.handle(30.0, Event::List(ListUpdate::Full(&list)), &mut Vec::new());
+        looped.run(80.0);
+        let ends = (0..3).map(|warm| looped.free[&warm][0].saturating_sub(looped.now) / looped.work);
+        ends.sum::<u64>()
+    };
+    let (alone, beside) = (queued(0), queued(2));
+    println!("waiting at the warm ones: {alone} alone, {beside} beside cold ones");
+    assert!(alone < 40, "{alone}");
+    assert!(beside < 40, "{beside}");
+}
