Cold budgets go by what warm members do; pushed watches that fall silent are made again in time

Ruled out: list calls (16 to 90 changes in 4 s, evenly), repeats (5 in 100), room for connections (none refused).

Causes: Balancer::usable in src/logic.rs allowed a cold member a part of what was served, which where all are cold is what it allowed before, and so fell without end; parts of a request were lost whenever a draw failed or another member was chosen. And watch_loop of crates/http waited as long for a pushed watch that fell silent as its news take to count as told, and then backed off for up to a second.

A pushed watch is 2 s long and 0.5 s late at most, and is followed up at once.

--- a/crates/dewpier/tests/proxy.rs
+++ b/crates/dewpier/tests/proxy.rs
@@ -250,6 +250,26 @@
     assert_eq!(proxy.ask(&request("look", 20_000)).body, b"new");
 }
 
+#[test]
+fn a_pushed_watch_that_falls_silent_is_made_again_before_its_news_count_as_told() {
+    // They count as told 2 s after the wait that the call named. It named 10 s and was waited for as long as
+    // that and 2 s more, so that a drain was known only after it had counted.
+    let (old, new) = (Played::good("old"), Played::good("new"));
+    let all = list(7, true, &[entry("s-1", new.address, "SERVING")]).to_string();
+    let discovery = Played::new(move |before, _| match before {
+        1 => Play::Answer(answer("200 OK", &all)),
+        _ => Play::Silence(channel().0),
+    });
+    let proxy = Proxy::start(&settings(), &known(&[&old]), discovery.address);
+    wait_for("third call", || discovery.count() >= 3);
+    let calls = discovery.requests.lock().unwrap();
+    assert!(calls[0].first.contains("since=1&timeout_ms=2000"), "{}", calls[0].first);
+    assert!(calls[1].first.contains("since=1&timeout_ms=0"), "{}", calls[1].first);
+    assert!(calls[2].first.contains("since=7&timeout_ms=2000"), "{}", calls[2].first);
+    drop(calls);
+    assert_eq!(proxy.ask(&request("look", 20_000)).body, b"new");
+}
+
 #[test]
 fn where_the_list_must_be_asked_for_a_call_that_failed_is_made_again() {
     let (old, new) = (Played::good("old"), Played::good("new"));
--- a/crates/http/src/discovery.rs
+++ b/crates/http/src/discovery.rs
@@ -20,8 +20,13 @@
 const MOST_WATCH: Duration = Duration::from_secs(60);
 /// How much longer than that an answer may take.
 const PATIENCE: Duration = Duration::from_secs(2);
+/// The same two where lists are pushed. The agent is on this machine, and its answers cost nothing. Guards
+/// against a watch that falls silent: what it had to tell counts as told 2 s after its wait is over, so that
+/// the next calls must have been answered by then, also where one or two of them fall silent as well.
+const PUSHED_WATCH: Duration = Duration::from_secs(2);
+const PUSHED_PATIENCE: Duration = Duration::from_millis(500);
 /// Bounds of the wait after a call that failed, where the module doesn't say when to ask again.
-const BACKOFF: [Duration; 2] = [Duration::from_millis(50), Duration::from_secs(1)];
+const BACKOFF: [Duration; 2] = [Duration::from_millis(50), Duration::from_millis(400)];
 /// Largest list taken in.
 const MOST_BYTES: usize = 4 << 20;
 
@@ -68,13 +73,14 @@
         settings: &Settings,
         engine: Rc<Engine<Http>>,
     ) -> Rc<Self> {
+        let longest = if settings.must_watch { MOST_WATCH } else { PUSHED_WATCH };
         let discovery = Rc::new(Self {
             address: Cell::new(address),
             names: RefCell::new(Names::new(wire.zones.clone())),
             generation: Cell::new(Some(known.generation)),
             watch: RefCell::default(),
             era: Cell::new(0),
-            wait: Duration::try_from_secs_f64(settings.ask_within).unwrap_or(MOST_WATCH).min(MOST_WATCH),
+            wait: Duration::try_from_secs_f64(settings.ask_within).unwrap_or(longest).min(longest),
             asked: settings.must_watch,
             engine,
         });
@@ -135,14 +141,17 @@
     async fn watch_loop(self: Rc<Self>) {
         let mut peer = None;
         let mut backoff = BACKOFF[0];
+        let patience = if self.asked { PATIENCE } else { PUSHED_PATIENCE };
+        let mut failed = false;
         loop {
+            // After a call that failed: what has been missed, at once.
+            let wait = if failed { Duration::ZERO } else { self.wait };
             let answer = match self.generation.get() {
                 Some(since) => {
-                    let wait = self.wait.as_millis();
-                    let path = format!("/api/targets?since={since}&timeout_ms={wait}");
-                    self.call(&path, self.wait + PATIENCE, &mut peer).await
+                    let path = format!("/api/targets?since={since}&timeout_ms={}", wait.as_millis());
+                    self.call(&path, wait + patience, &mut peer).await
                 }
-                None => self.call("/api/targets", PATIENCE, &mut peer).await,
+                None => self.call("/api/targets", patience, &mut peer).await,
             };
             let good = answer.is_ok();
             if !good && self.asked {
@@ -151,6 +160,7 @@
                 return self.take(answer);
             }
             self.take(answer);
+            failed = !good;
             if good {
                 backoff = BACKOFF[0];
             } else {
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -102,7 +102,10 @@
 /// Where only probes bring reports, one member is probed for each so many sends.
 const SENDS_A_PROBE: usize = 3;
 /// Part of what would tip a cold backend over that all balancers together plan to send it.
-const COLD_MARGIN: f64 = 0.4;
+const COLD_MARGIN: f64 = 0.6;
+/// So much of a turn there may be had in advance where nothing else can be sent to: e to the power of this
+/// times the part above, in all.
+const BORROWED: f64 = 0.2;
 /// The token of the timer that asks for the list; tokens of calls are above it.
 const LIST_TOKEN: u64 = 0;
 /// Kinds of timers of calls: a firing, the end of its time, its turn in a lane.
@@ -191,7 +194,7 @@
     answered_sent: Time,
     /// When it last showed that it works, or was given a call while it had none.
     alive_at: Time,
-    /// What may be sent to it while it is cold, in requests.
+    /// While it is cold: what has fallen to it since the last call there, less what the next one takes.
     cold: Bucket,
     /// How long a request takes it, by its reports.
     service: Option<Time>,
@@ -313,8 +316,11 @@
     groups: HashMap<Scope, Vec<usize>>,
     subset: Vec<usize>,
     sent: Rate,
-    /// Calls answered, over as long as backends may stay cold, and of late.
-    served: Rate,
+    /// Calls that warm members answered, by the seconds that each of them was one.
+    warm: Rate,
+    warm_time: Time,
+    warm_at: Time,
+    /// Calls answered of late.
     lately: Rate,
     normal: Vec<Normal>,
     /// The same over all classes.
@@ -362,7 +368,9 @@
             groups: HashMap::new(),
             subset: Vec::new(),
             sent: Rate::new(now),
-            served: Rate::new(now),
+            warm: Rate::new(0.0),
+            warm_time: 0.0,
+            warm_at: now,
             lately: Rate::new(now),
             wait: Normal::default(),
             normal: vec![Normal::default(); settings.classes.len()],
@@ -756,7 +764,9 @@
         }
         b.in_flight += 1;
         b.named += 1;
-        b.cold.room -= 1.0;
+        let next = -self.wait_for_turn();
+        let b = &mut self.backends[backend];
+        b.cold.room = next;
         let (cell, zone, id) = (b.entry.cell, b.entry.zone, b.entry.id);
         let call = &mut self.calls[slot];
         call.attempts.push(Attempt { backend, cell, zone, sent: now, outcome: None, lost: false });
@@ -797,6 +807,12 @@
             }
             pool.retain(|b| self.usable(*b));
         }
+        if pool.is_empty() {
+            pool.clone_from(&self.subset);
+            pool.retain(|b| {
+                scope.holds(&self.backends[*b].entry) && !tried.contains(b) && self.may_borrow(*b)
+            });
+        }
         // Those with more than the mean load are left out of the draw: slow machines would be
         // crowded whenever both drawn are slow.
         let mean = pool.iter().map(|b| self.load(*b)).sum::<f64>() / pool.len() as f64;
@@ -839,19 +855,51 @@
         if !self.subset.contains(&backend) {
             return false; // its budget is the members'
         }
-        // All members that do likewise together send it the usual part of what is served (in an
-        // overload less than what is sent), times its capacity of the moment, times a margin.
-        self.served.age(self.now, self.memory);
-        let rate = self.served.per_second() / self.subset.len().max(1) as f64;
+        // A turn that was not used stands as long as the rule counts: what was saved for longer would come
+        // at once from many balancers.
+        let rate = self.cold_rate(backend);
+        let most = rate * self.settings.tip_after;
+        let room = self.backends[backend].cold.fill(self.now, rate, f64::INFINITY);
+        if room > most {
+            let none = self.rng.random::<f64>() < (-most).exp();
+            self.backends[backend].cold.room = if none { -self.wait_for_turn() } else { 0.0 };
+        }
+        self.backends[backend].cold.room >= 0.0
+    }
+
+    /// Where all that it could be sent to is cold and had its part, one whose next turn is near may be sent
+    /// to before it. Guards against a fleet of newcomers alone, which turned requests away while idle.
+    fn may_borrow(&self, backend: usize) -> bool {
+        let b = &self.backends[backend];
+        b.entry.status == Status::InService && b.cold.room >= -BORROWED
+    }
+
+    /// What has to fall to a cold backend before its next turn, in requests: one on average, drawn so that
+    /// the turns of many balancers come at random times.
+    fn wait_for_turn(&mut self) -> f64 {
+        -(1.0 - self.rng.random::<f64>()).ln()
+    }
+
+    /// What this balancer may send to a cold member, in requests a second. All members that do likewise
+    /// together send it what warm ones are seen to do, times the least capacity that it can have now, times a
+    /// margin. Guards against a rate that follows what is served: where all members are cold that fell with
+    /// what it allowed, until nothing was sent. Who has seen no warm ones goes by what is asked of it.
+    fn cold_rate(&mut self, backend: usize) -> f64 {
+        self.age_warm();
+        let members = self.subset.len().max(1) as f64;
+        let tip = self.settings.tip_after;
+        let asked = self.sent.count / (self.sent.span + tip) / members;
+        let rate = (self.warm.count + asked * tip) / (self.warm.span + tip).max(f64::EPSILON);
         let rate = self.backends[backend].entry.usual.map_or(rate, |usual| usual.min(rate));
-        let multiple = COLD_MARGIN * self.settings.fall_multiple;
-        let b = &mut self.backends[backend];
-        let allowed = rate * ramp * multiple;
-        // What was saved must not come at once from many balancers: parts of a request are drawn
-        // lots for and then gone, not kept until they make a whole.
-        let part = b.cold.fill(self.now, allowed, allowed * self.settings.tip_after);
-        b.cold.room = if part >= 1.0 { part } else { f64::from(self.rng.random::<f64>() < part) };
-        b.cold.room >= 1.0
+        rate * self.ramp(backend) * COLD_MARGIN * self.settings.fall_multiple
+    }
+
+    /// Counts on how long how many members have been warm.
+    fn age_warm(&mut self) {
+        let warm = self.subset.iter().filter(|b| self.ramp(**b) >= 1.0).count() as f64;
+        self.warm_time += warm * (self.now - self.warm_at);
+        self.warm_at = self.now;
+        self.warm.age(self.warm_time, self.memory * self.subset.len().max(1) as f64);
     }
 
     /// Part of its capacity that a backend has at the least.
@@ -886,7 +934,10 @@
                         let b = &mut self.backends[backend];
                         b.answered_at = self.now;
                         b.answered_sent = b.answered_sent.max(self.now - ended.took);
-                        self.served.add(self.now, self.memory);
+                        if self.ramp(backend) >= 1.0 {
+                            self.age_warm();
+                            self.warm.count += 1.0;
+                        }
                         self.lately.add(self.now, self.lately_memory());
                         self.learn(backend, class, ended.took, false);
                         let calm = self.pressure() <= 0.0;
@@ -1108,7 +1159,7 @@
     }
 
     fn take_in(&mut self, entry: &Entry, actions: &mut Vec<Action>) {
-        let fresh = Bucket { room: 0.0, at: self.now };
+        let fresh = Bucket { room: -self.wait_for_turn(), at: self.now };
         let known = self.by_backend.get(&entry.id).copied().unwrap_or_else(|| {
             let new = Backend {
                 entry: entry.clone(),
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -619,6 +619,40 @@
     assert!(sent <= 9, "{sent}");
 }
 
+#[test]
+fn a_fleet_of_newcomers_alone_is_sent_no_less_and_less() {
+    // Guards against budgets that follow what is served: where backends are replaced before they are warm,
+    // what was served was what the budgets allowed, and they fell with it until nothing was sent at all.
+    let settings = Settings { instances: 1, cold: 20.0, cold_share: 0.3, fall_multiple: 3.0, ..safe() };
+    let mut sent_by = Vec::new();
+    let mut b = Bench::new(settings, &fleet(4));
+    for id in 0..400 {
+        b.served(id, 0.0);
+        b.run_to(b.now + 0.05);
+    }
+    for round in 1..=12 {
+        // Four a second each is what warm ones were seen to do, and all are new every 5 s.
+        let list: Vec<Entry> =
+            (0..4).map(|i| Entry { started: Some(b.now), ..entry(10 * round + i) }).collect();
+        b.event(Event::List(ListUpdate::Full(&list)));
+        let mut sent = 0;
+        for id in 0..100 {
+            let actions = b.request(u64::from(1000 * round + id));
+            for (id, to) in sends(&actions) {
+                sent += 1;
+                b.end(id, 0, to, Outcome::Served, 0.0);
+            }
+            b.run_to(b.now + 0.05);
+        }
+        sent_by.push(sent);
+    }
+    println!("sent at first, by 5 s: {sent_by:?}");
+    let (early, late): (usize, usize) = (sent_by[..4].iter().sum(), sent_by[8..].iter().sum());
+    assert!(2 * late > early, "{sent_by:?}");
+    // A third to a half of 20 a second is what they can do, and three times that would tip them.
+    assert!((100..400).contains(&late), "{sent_by:?}");
+}
+
 #[test]
 fn an_overload_does_not_widen_the_budget_of_cold_backends() {
     // Guards against budgets that follow what is sent: with clients that repeat without pause
