--- a/src/logic.rs
+++ b/src/logic.rs
@@ -871,7 +871,8 @@
     /// to before it. Guards against a fleet of newcomers alone, which turned requests away while idle.
     fn may_borrow(&self, backend: usize) -> bool {
         let b = &self.backends[backend];
-        b.entry.status == Status::InService && b.cold.room >= -BORROWED
+        let lent = b.entry.usual.is_none_or(|usual| usual > 0.0);
+        b.entry.status == Status::InService && lent && b.cold.room >= -BORROWED
     }
 
     /// What has to fall to a cold backend before its next turn, in requests: one on average, drawn so that
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -619,6 +619,16 @@
     assert!(sent <= 9, "{sent}");
 }
 
+#[test]
+fn nothing_is_sent_in_advance_where_planners_allow_nothing() {
+    let settings = Settings { cold: 20.0, cold_share: 0.3, ..safe() };
+    for seed in 0..50 {
+        let cold = |id| Entry { started: Some(0.0), usual: Some(0.0), ..entry(id) };
+        let mut b = Bench::seeded(seed, settings.clone(), &[cold(1), cold(2), cold(3)]);
+        assert!(sends(&b.request(1)).is_empty(), "seed {seed}");
+    }
+}
+
 #[test]
 fn a_fleet_of_newcomers_alone_is_sent_no_less_and_less() {
     // Guards against budgets that follow what is served: where backends are replaced before they are warm,
