Operators' calls, figures that add up, and drains: check, vars, drain-on, drain-off

Change: crates/operate has calls, figures and the life of a process as cores without I/O, and a server bounded in callers, bytes and time. A request ends by one token; attempts count where their last byte goes out. SIGTERM goes through the same life as a drain.

--- a/crates/dewpier/src/platform.rs
+++ b/crates/dewpier/src/platform.rs
@@ -6,7 +6,10 @@
 use dewpier_http::limits::{Budget, Caps};
 use dewpier_http::request::Dialect;
 use dewpier_http::server::{self, Server};
+use dewpier_operate::figures::Figures;
+use dewpier_operate::io as operators;
 use gannetproxy::engine::Engine;
+use std::rc::Rc;
 use thiserror::Error;
 use tokio::signal::unix::{SignalKind, signal};
 
@@ -30,6 +33,11 @@
     let listener = server::bind(config.listen)?;
     let address = listener.local_addr()?;
     eprintln!("dewpier: listening on {address}");
+    let operators = config.operator.map(server::bind).transpose()?;
+    if let Some(operators) = &operators {
+        eprintln!("dewpier: operators call at {}", operators.local_addr()?);
+    }
+    let figures = Figures::new(config.wire.classes.clone());
     let caps = Caps::new(config.sockets, config.memory);
     let upstream = Http {
         connections: Budget::new(caps.backends),
@@ -38,6 +46,7 @@
         probe_path: if config.settings.probe_for_reports { "/-/load" } else { "/-/healthy" },
         reuse: Reuse::new(config.wire.handshake_price),
         answers: Answers::Platform,
+        attempts: figures.attempts_counter(),
     };
     let engine = Engine::start(config.settings.clone(), config.wire.bounds(), config.seed, upstream);
     let discovery =
@@ -52,10 +61,18 @@
         }
         std::future::pending().await
     };
-    let server = Server::new(engine, config.settings, config.wire, Dialect::Platform, caps);
+    let server = Server::new(engine, config.settings, config.wire, Dialect::Platform, caps, figures);
+    let asked = server.clone();
+    let operating = async move {
+        match operators {
+            Some(listener) => operators::serve(listener, Rc::new(move |call| asked.operate(call))).await,
+            None => std::future::pending().await,
+        }
+    };
     tokio::select! {
         () = server.run(listener, async move { stop.recv().await.unwrap_or_default() }) => {}
         () = reloading => {}
+        () = operating => {}
     }
     Ok(())
 }
--- a/crates/dewpier/src/run.rs
+++ b/crates/dewpier/src/run.rs
@@ -10,6 +10,7 @@
 use dewpier_http::limits::{Budget, Caps};
 use dewpier_http::request::Dialect;
 use dewpier_http::server::{self, Server};
+use dewpier_operate::figures::Figures;
 use gannetproxy::engine::Engine;
 use std::net::SocketAddr;
 use tokio::signal::unix::{SignalKind, signal};
@@ -49,6 +50,7 @@
     };
     let mut feed = Feed::first(lists, wire.zones.clone()).await?;
 
+    let figures = Figures::new(wire.classes.clone());
     let caps = Caps::new(descriptors, memory);
     let upstream = Http {
         connections: Budget::new(caps.backends),
@@ -57,6 +59,7 @@
         probe_path: "/-/healthy",
         reuse: Reuse::new(wire.handshake_price),
         answers: Answers::Plain,
+        attempts: figures.attempts_counter(),
     };
     let listener = server::bind(listen)?;
     let address = listener.local_addr()?;
@@ -67,7 +70,7 @@
         None => None,
     };
     ready(address);
-    let server = Server::new(engine.clone(), settings, wire, Dialect::Plain(routes), caps);
+    let server = Server::new(engine.clone(), settings, wire, Dialect::Plain(routes), caps, figures);
     let (stopping, stopped) = watch::channel(false);
     let told = || {
         let mut stopped = stopped.clone();
--- a/crates/dewpier/tests/common/sockets.rs
+++ b/crates/dewpier/tests/common/sockets.rs
@@ -1,6 +1,7 @@
 //! The proxy's program between a client, backends and a discovery that the test plays over
 //! loopback sockets.
 
+#![allow(dead_code)] // not every test needs all of it
 #[allow(unused_imports)] // not every test needs all of them
 pub use dewpier_standins::message::{Message, answer, ask, read};
 pub use dewpier_standins::played::{Play, Played};
@@ -8,7 +9,7 @@
 pub use dewpier_standins::{LONG, heard, wait_for};
 
 use serde_json::{Value, json};
-use std::io::{BufRead, BufReader};
+use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -52,6 +53,8 @@
     pub child: Child,
     path: std::path::PathBuf,
     pub address: SocketAddr,
+    /// Where operators call, if its configuration has that.
+    pub operator: Option<SocketAddr>,
 }
 
 impl Proxy {
@@ -66,9 +69,14 @@
         let mut line = String::new();
         log.read_line(&mut line).unwrap();
         let address = line.trim().strip_prefix("dewpier: listening on ").expect(&line).parse().unwrap();
+        let operator = config.get("operator").map(|_| {
+            line.clear();
+            log.read_line(&mut line).unwrap();
+            line.trim().strip_prefix("dewpier: operators call at ").expect(&line).parse().unwrap()
+        });
         // Its log is read on, lest it block.
         std::thread::spawn(move || std::io::copy(&mut log, &mut std::io::sink()));
-        Self { child, path, address }
+        Self { child, path, address, operator }
     }
 
     /// Replaces the file of its configuration.
@@ -97,6 +105,24 @@
         ask(&mut self.connect(), text)
     }
 
+    /// Makes an operator's call: all that it is told.
+    pub fn call(&self, call: &str) -> String {
+        let mut stream = TcpStream::connect(self.operator.expect("operators can call")).unwrap();
+        stream.set_read_timeout(Some(LONG)).unwrap();
+        stream.write_all(format!("{call}\n").as_bytes()).unwrap();
+        let mut told = String::new();
+        stream.read_to_string(&mut told).unwrap();
+        told
+    }
+
+    /// One of its figures.
+    pub fn figure(&self, name: &str) -> u64 {
+        let told = self.call("vars");
+        let value =
+            told.lines().find_map(|l| l.strip_prefix("edge_relay.")?.strip_prefix(name)?.strip_prefix('='));
+        value.unwrap_or_else(|| panic!("no {name} in {told}")).parse().unwrap()
+    }
+
     pub fn signal(&self, name: &str) {
         let id = self.child.id().to_string();
         assert!(Command::new("kill").args([name, &id]).status().unwrap().success());
--- /dev/null
+++ b/crates/dewpier/tests/operate.rs
@@ -0,0 +1,187 @@
+//! Operators' calls, figures and drains of the platform's program, over loopback sockets.
+
+#[path = "common/sockets.rs"]
+mod sockets;
+
+use serde_json::{Value, json};
+use sockets::*;
+use std::io::{Read, Write};
+use std::net::TcpStream;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, Instant};
+
+fn operated(settings: &Value, backends: &[&Played]) -> Proxy {
+    let mut config = config_of(settings, &known(backends));
+    config["operator"] = json!("127.0.0.1:0");
+    Proxy::with(&config, quiet().address)
+}
+
+#[test]
+fn calls_are_answered_whatever_other_callers_do() {
+    let backend = Played::good("a");
+    let proxy = operated(&settings(), &[&backend]);
+    let at = proxy.operator.unwrap();
+    // Callers that say nothing, half a call, too much, or anything at all; they stay.
+    let mut stay = Vec::new();
+    for n in 0..200 {
+        let mut caller = TcpStream::connect(at).unwrap();
+        let said: &[u8] = match n % 5 {
+            0 => b"",
+            1 => b"che",
+            2 => &[b'x'; 9000],
+            3 => b"\xff\0\r\r\n",
+            _ => b"vars\nvars\nvars\n",
+        };
+        let _ = caller.write_all(said);
+        stay.push(caller);
+        if n % 20 == 0 {
+            let asked = Instant::now();
+            assert!(proxy.call("check").starts_with("YES"));
+            assert!(asked.elapsed() < Duration::from_secs(10), "it waits for others");
+        }
+    }
+    let no = proxy.call("set-fire");
+    assert!(no.starts_with("NO") && no.contains("drain-on"), "{no}");
+    let vars = proxy.call("vars");
+    assert!(vars.ends_with("\nEND\n") && vars.contains("edge_relay.members=1\n"), "{vars}");
+    // Who says nothing is let go.
+    stay[195].set_read_timeout(Some(LONG)).unwrap();
+    assert_eq!(stay[195].read(&mut [0; 64]).unwrap_or(0), 0);
+}
+
+#[test]
+fn without_an_address_nobody_is_listened_to() {
+    let backend = Played::good("a");
+    let proxy = Proxy::before(&[&backend]);
+    assert_eq!(proxy.operator, None);
+    let listens = |table: &str| {
+        let table = std::fs::read_to_string(format!("/proc/{}/net/{table}", proxy.child.id())).unwrap();
+        let fds = std::fs::read_dir(format!("/proc/{}/fd", proxy.child.id())).unwrap();
+        let links = fds.filter_map(|fd| std::fs::read_link(fd.unwrap().path()).ok());
+        let inodes: Vec<_> =
+            links.filter_map(|l| l.to_str()?.strip_prefix("socket:[").map(|i| i.replace(']', ""))).collect();
+        let rows = table.lines().skip(1).map(|l| l.split_whitespace().collect::<Vec<_>>());
+        rows.filter(|r| r[3] == "0A" && inodes.iter().any(|i| i == r[9])).count()
+    };
+    assert_eq!(listens("tcp") + listens("tcp6"), 1, "the clients' address alone");
+}
+
+#[test]
+fn a_drain_empties_it_and_is_undone() {
+    let backend = Played::good("a");
+    let proxy = operated(&settings(), &[&backend]);
+    let ready = "GET /-/ready HTTP/1.1\r\nHost: app.svc\r\n\r\n";
+    wait_for("a yes", || proxy.ask(ready).status() == 200);
+    let (mut rests, mut mute, mut asks) = (proxy.connect(), proxy.connect(), proxy.connect());
+    assert_eq!(ask(&mut rests, &request("look", 5000)).status(), 200);
+    assert!(proxy.call("drain-on").starts_with("YES"));
+    assert!(proxy.call("drain-on").starts_with("YES"), "twice");
+    assert_eq!(proxy.ask(ready).status(), 503);
+    assert!(proxy.call("check").starts_with("NO"));
+    // One that goes on is served, and told with its answer.
+    let told = ask(&mut asks, &request("look", 5000));
+    assert_eq!((told.status(), told.header("connection")), (200, Some("close")));
+    // So is one that comes although it drains.
+    let late = proxy.ask(&request("look", 5000));
+    assert_eq!((late.status(), late.header("connection")), (200, Some("close")));
+    // Those that ask for nothing are closed, whether or not they have ever asked.
+    assert_eq!(rests.read(&mut [0]).unwrap(), 0);
+    assert_eq!(mute.read(&mut [0]).unwrap(), 0);
+    assert!(proxy.call("drain-off").starts_with("YES"));
+    assert_eq!(proxy.ask(ready).status(), 200);
+    assert!(proxy.call("check").starts_with("YES"));
+    let mut stays = proxy.connect();
+    for _ in 0..2 {
+        let served = ask(&mut stays, &request("look", 5000));
+        assert_eq!((served.status(), served.header("connection")), (200, None));
+    }
+}
+
+#[test]
+fn clients_that_never_pause_lose_nothing_by_drains() {
+    let backend = Played::good("a");
+    let proxy = operated(&settings(), &[&backend]);
+    wait_for("a yes", || proxy.call("check").starts_with("YES"));
+    let over = AtomicBool::new(false);
+    std::thread::scope(|scope| {
+        let client = || {
+            let (mut served, mut told) = (0, 0);
+            let mut stream = proxy.connect();
+            while !over.load(Ordering::SeqCst) {
+                let answer = ask(&mut stream, &request("order", 10_000));
+                assert_eq!(answer.status(), 200);
+                served += 1;
+                if answer.header("connection") == Some("close") {
+                    told += 1;
+                    stream = proxy.connect();
+                }
+            }
+            (served, told)
+        };
+        let clients: Vec<_> = (0..4).map(|_| scope.spawn(client)).collect();
+        for _ in 0..2 {
+            std::thread::sleep(Duration::from_millis(200));
+            assert!(proxy.call("drain-on").starts_with("YES"));
+            std::thread::sleep(Duration::from_millis(700));
+            assert!(proxy.call("drain-off").starts_with("YES"));
+        }
+        over.store(true, Ordering::SeqCst);
+        let counts: Vec<(u64, u64)> = clients.into_iter().map(|c| c.join().unwrap()).collect();
+        assert!(counts.iter().all(|(_, told)| *told > 0), "{counts:?}");
+        let served: u64 = counts.iter().map(|(served, _)| served).sum();
+        assert_eq!(proxy.figure("downstream_requests.order.completed"), served);
+        assert_eq!(backend.count() as u64, served);
+    });
+}
+
+#[test]
+fn figures_are_what_the_peers_saw() {
+    // One that closes instead of every fifth answer, and one that turns every third request away.
+    let spoils = Played::new(|n, _| match n % 5 {
+        0 => Play::Close,
+        _ => Play::Answer(answer("200 OK", "a")),
+    });
+    let full = Played::new(|n, _| match n % 3 {
+        0 => Play::Answer("HTTP/1.1 503 Full\r\nX-Turned-Away: 1\r\nContent-Length: 0\r\n\r\n".into()),
+        _ => Play::Answer(answer("200 OK", "b")),
+    });
+    let proxy = operated(&settings(), &[&spoils, &full]);
+    wait_for("a yes", || proxy.call("check").starts_with("YES"));
+    let mut seen = std::collections::BTreeMap::<(String, &str), u64>::new();
+    for n in 0..300 {
+        let class = ["look", "save", "order"][n % 3];
+        let ended = match proxy.ask(&request(class, 5000)).status() {
+            200 => "completed",
+            429 | 503 => "rejected",
+            _ => "failed",
+        };
+        *seen.entry((class.to_string(), ended)).or_default() += 1;
+    }
+    assert!(
+        seen.keys().any(|(_, ended)| *ended == "failed"),
+        "orders fail where they may have run: {seen:?}"
+    );
+    for class in ["look", "save", "order"] {
+        for ended in ["completed", "rejected", "failed"] {
+            let counted = proxy.figure(&format!("downstream_requests.{class}.{ended}"));
+            assert_eq!(
+                counted,
+                seen.get(&(class.to_string(), ended)).copied().unwrap_or(0),
+                "{class} {ended}"
+            );
+        }
+    }
+    assert_eq!(proxy.figure("upstream_requests"), (spoils.count() + full.count()) as u64);
+    assert_eq!(proxy.figure("pending"), 0);
+    // One whose client leaves has ended too, and one that is out is pending.
+    let (ended, _hears) = std::sync::mpsc::channel();
+    let silent = Played::new(move |_, _| Play::Silence(ended.clone()));
+    let proxy = operated(&settings(), &[&silent]);
+    wait_for("a yes", || proxy.call("check").starts_with("YES"));
+    let mut leaves = proxy.connect();
+    leaves.get_mut().write_all(request("order", 20_000).as_bytes()).unwrap();
+    wait_for("a pending request", || proxy.figure("pending") == 1);
+    wait_for("an attempt", || proxy.figure("upstream_requests") == 1);
+    drop(leaves);
+    wait_for("its end", || proxy.figure("pending") == 0);
+}
--- a/crates/http/src/backend.rs
+++ b/crates/http/src/backend.rs
@@ -6,6 +6,7 @@
 use crate::payload::Payload;
 use crate::peer::{HELD, Peer, Spoilt, connect};
 use bytes::Bytes;
+use dewpier_operate::figures::Attempts;
 use dewpier_reuse::{Odds, Price, Shared, Stake};
 use gannetproxy::engine::{Attempt, Done, Upstream};
 use gannetproxy::{Outcome, Report};
@@ -189,6 +190,8 @@
     pub reuse: Reuse,
     /// What counts as served.
     pub answers: Answers,
+    /// Where attempts are counted; probes are none.
+    pub attempts: Attempts,
 }
 
 impl Upstream for Http {
@@ -245,10 +248,10 @@
         payload: Rc<Payload>,
         attempt: Attempt<Served>,
     ) -> impl Future<Output = Done<Served>> + 'static {
-        let answers = self.answers;
+        let (answers, attempts) = (self.answers, self.attempts.clone());
         async move {
             let request = || payload.request(attempt.until - attempt.clock.now());
-            exchange(&endpoint, &attempt, answers, payload.stake, request).await
+            exchange(&endpoint, &attempt, answers, Some(attempts), payload.stake, request).await
         }
     }
 
@@ -266,7 +269,7 @@
                 request
             };
             let within = 4 * endpoint.connect_timeout;
-            let probed = exchange(&endpoint, &attempt, Answers::Platform, Stake::Wait, request);
+            let probed = exchange(&endpoint, &attempt, Answers::Platform, None, Stake::Wait, request);
             let late = Done::without_answer(Outcome::Timeout);
             let done = tokio::time::timeout(within, probed).await.unwrap_or(late);
             let body = done.served.as_ref().and_then(|s| report(&s.body));
@@ -279,6 +282,7 @@
     endpoint: &Endpoint,
     attempt: &Attempt<R>,
     answers: Answers,
+    counts: Option<Attempts>,
     stake: Stake,
     request: impl Fn() -> Request<Full<Bytes>>,
 ) -> Done<Served> {
@@ -301,7 +305,7 @@
         written.set(true);
         let new = idle.is_none();
         let begun = Instant::now();
-        match peer.exchange(request()).await {
+        match peer.exchange(request(), counts.clone()).await {
             Ok((head, body)) => {
                 endpoint.used(idle, false);
                 break (peer, permit, head, body);
--- a/crates/http/src/clients.rs
+++ b/crates/http/src/clients.rs
@@ -43,6 +43,8 @@
     since: Cell<Instant>,
     /// When the request that is being read began.
     begun: Cell<Option<Instant>>,
+    /// Something has ever come.
+    heard: Cell<bool>,
     /// Something came while a request was open.
     early: Cell<bool>,
     /// It is being closed for want of room, or has outstayed its time.
@@ -82,7 +84,8 @@
         }
     }
 
-    fn heard(&self) {
+    fn note(&self) {
+        self.heard.set(true);
         if self.open.get() {
             self.early.set(true);
         } else if self.begun.get().is_none() {
@@ -90,6 +93,11 @@
         }
     }
 
+    /// When the request that is being read began; a connection that has sent nothing yet is reading none.
+    fn begun_request(&self) -> Option<Instant> {
+        self.begun.get().filter(|_| self.heard.get())
+    }
+
     fn overdue(&self) -> bool {
         // A body that does not come is answered by its reader; this is for all else.
         let unread = self.begun.get().is_some_and(|begun| begun.elapsed() > READ_WITHIN + STEP);
@@ -163,6 +171,7 @@
             asked: Cell::new(false),
             since: Cell::new(now),
             begun: Cell::new(Some(now)),
+            heard: Cell::new(false),
             early: Cell::new(false),
             ending: Cell::new(false),
             end: Notify::new(),
@@ -196,10 +205,16 @@
         idle.or_else(mute).or_else(resting).inspect(|c| c.close()).is_some()
     }
 
-    /// Closes connections that have outstayed their time.
-    pub fn sweep(&self) {
+    /// Closes connections that have outstayed their time, and where it is given, those that have rested for so
+    /// long between two requests.
+    pub fn sweep(&self, rested: Option<Duration>) {
         let all = self.all.borrow();
-        all.iter().filter(|c| !c.ending.get() && c.overdue()).for_each(|c| c.close());
+        let rests = |c: &Client| {
+            !c.open.get()
+                && c.begun_request().is_none()
+                && rested.is_some_and(|r| c.since.get().elapsed() >= r)
+        };
+        all.iter().filter(|c| !c.ending.get() && (c.overdue() || rests(c))).for_each(|c| c.close());
     }
 }
 
@@ -227,7 +242,7 @@
         let before = buffer.filled().len();
         let read = Pin::new(&mut self.stream).poll_read(cx, buffer);
         if buffer.filled().len() > before {
-            self.client.heard();
+            self.client.note();
         }
         read
     }
--- a/crates/http/src/config.rs
+++ b/crates/http/src/config.rs
@@ -47,6 +47,8 @@
 pub struct Config {
     /// Where clients connect.
     pub listen: SocketAddr,
+    /// Where operators call, if anywhere.
+    pub operator: Option<SocketAddr>,
     /// Where discovery is.
     pub discovery: SocketAddr,
     /// For the module's random numbers.
@@ -96,6 +98,7 @@
 struct File {
     listen: Option<String>,
     discovery: Option<String>,
+    operator: Option<String>,
     seed: String,
     limits: Limits,
     #[serde(default)]
@@ -266,10 +269,19 @@
             }
             _ => address("RELAY_DISCOVERY", &file.discovery)?,
         };
-        Self::from_file(file, listen, discovery)
+        let operator = match std::env::var("RELAY_OPERATOR").is_ok() || file.operator.is_some() {
+            true => Some(address("RELAY_OPERATOR", &file.operator)?),
+            false => None,
+        };
+        Self::from_file(file, listen, discovery, operator)
     }
 
-    fn from_file(file: File, listen: SocketAddr, discovery: SocketAddr) -> Result<Self, ConfigError> {
+    fn from_file(
+        file: File,
+        listen: SocketAddr,
+        discovery: SocketAddr,
+        operator: Option<SocketAddr>,
+    ) -> Result<Self, ConfigError> {
         let seed = u64::from_str_radix(&file.seed, 16).map_err(|_| bad("seed", "hex digits", &file.seed))?;
         let raw = file.settings;
         let mut zones = raw.zones;
@@ -310,7 +322,7 @@
             quantum: raw.quantum,
         };
         let (sockets, memory) = (file.limits.sockets, (file.limits.memory_mb * f64::from(1 << 20)) as usize);
-        Ok(Self { listen, discovery, seed, sockets, memory, known: file.known, settings, wire })
+        Ok(Self { listen, operator, discovery, seed, sockets, memory, known: file.known, settings, wire })
     }
 }
 
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -15,4 +15,3 @@
 pub mod request;
 pub mod routes;
 pub mod server;
-mod stopping;
--- a/crates/http/src/peer.rs
+++ b/crates/http/src/peer.rs
@@ -2,6 +2,7 @@
 
 use crate::limits::{MOST_BODY, MOST_HEAD};
 use bytes::Bytes;
+use dewpier_operate::figures::Attempts;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1;
@@ -51,12 +52,37 @@
 /// connections that the other side has given up without a word, or resets as it accepts them.
 pub const HELD: Duration = Duration::from_millis(1);
 
+/// What is known of a request's way out.
+#[derive(Default)]
+struct Way {
+    /// All that was to be written has gone out.
+    whole: AtomicBool,
+    /// Where to count that, if it is to be counted.
+    counts: Mutex<Option<Attempts>>,
+}
+
+impl Way {
+    fn begin(&self, counts: Option<Attempts>) {
+        self.whole.store(false, Ordering::Relaxed);
+        if let Ok(mut counted) = self.counts.lock() {
+            *counted = counts;
+        }
+    }
+
+    fn end(&self) {
+        self.whole.store(true, Ordering::Relaxed);
+        // Taken, as one request may be flushed more than once.
+        if let Some(attempts) = self.counts.lock().ok().and_then(|mut counts| counts.take()) {
+            attempts.count();
+        }
+    }
+}
+
 /// A socket that notes when something came, and holds the last byte back.
 struct Line {
     stream: TcpStream,
     heard: Heard,
-    /// All that was to be written has gone out.
-    whole: Arc<AtomicBool>,
+    way: Arc<Way>,
     held: Option<u8>,
     /// Until when it is held.
     wait: Pin<Box<Sleep>>,
@@ -110,7 +136,7 @@
         if self.held.is_some() {
             ready!(self.wait.as_mut().poll(cx));
             ready!(self.poll_held(cx))?;
-            self.whole.store(true, Ordering::Relaxed);
+            self.way.end();
         }
         Pin::new(&mut self.stream).poll_flush(cx)
     }
@@ -126,7 +152,7 @@
     sender: http1::SendRequest<Full<Bytes>>,
     io: Io,
     heard: Heard,
-    whole: Arc<AtomicBool>,
+    way: Arc<Way>,
 }
 
 struct Io {
@@ -150,13 +176,13 @@
     let stream = tokio::time::timeout(within, TcpStream::connect(address)).await??;
     stream.set_nodelay(true)?;
     let heard = Heard::default();
-    let whole = Arc::new(AtomicBool::new(false));
+    let way = Arc::new(Way::default());
     let wait = Box::pin(tokio::time::sleep(Duration::ZERO));
-    let line = Line { stream, heard: heard.clone(), whole: whole.clone(), held: None, wait };
+    let line = Line { stream, heard: heard.clone(), way: way.clone(), held: None, wait };
     // A head without end must not grow without bound.
     let builder = http1::Builder::new().max_buf_size(MOST_HEAD).handshake(TokioIo::new(line));
     let (sender, io) = builder.await.map_err(io::Error::other)?;
-    Ok(Peer { sender, io: Io { connection: Box::pin(io), ended: false }, heard, whole })
+    Ok(Peer { sender, io: Io { connection: Box::pin(io), ended: false }, heard, way })
 }
 
 impl Peer {
@@ -172,11 +198,16 @@
 
     /// Sends a request and waits for the answer, which must come whole and be nothing but that:
     /// one that stands still half way, or is too long, or might be read in two ways, is none.
-    pub async fn exchange(&mut self, mut request: Request<Full<Bytes>>) -> Result<(Parts, Bytes), Spoilt> {
+    /// That it has gone out whole is counted, where it is to be.
+    pub async fn exchange(
+        &mut self,
+        mut request: Request<Full<Bytes>>,
+        counts: Option<Attempts>,
+    ) -> Result<(Parts, Bytes), Spoilt> {
         let heard = self.heard.clone();
         heard.set(None);
-        let whole = self.whole.clone();
-        whole.store(false, Ordering::Relaxed);
+        let way = self.way.clone();
+        way.begin(counts);
         let begun_anew = heard.clone();
         // 1xx answers come ahead of the one that counts, perhaps long ahead.
         hyper::ext::on_informational(&mut request, move |_| begun_anew.set(None));
@@ -184,7 +215,7 @@
             let answer = match self.send(request).await {
                 Some(Ok(answer)) => answer,
                 // The connection had ended before all of it was written.
-                _ if !whole.load(Ordering::Relaxed) => return Err(Spoilt::Unsent),
+                _ if !way.whole.load(Ordering::Relaxed) => return Err(Spoilt::Unsent),
                 _ => return Err(Spoilt::Sent),
             };
             let (head, body) = answer.into_parts();
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -5,8 +5,10 @@
 use crate::config::WireSettings;
 use crate::limits::{Budget, Caps, MOST_HEAD};
 use crate::request::{self, Asked, Dialect, Unfit};
-use crate::stopping::Stopping;
 use bytes::Bytes;
+use dewpier_operate::calls::{self, Call};
+use dewpier_operate::figures::{Ending, Figures, Members};
+use dewpier_operate::life::Life;
 use gannetproxy::engine::{Answer, Engine};
 use gannetproxy::{RequestId, Settings, Time};
 use http_body_util::Full;
@@ -40,10 +42,9 @@
     wire: WireSettings,
     dialect: Dialect,
     start: Instant,
-    /// When SIGTERM came, if it has.
-    stopping: Cell<Option<Instant>>,
-    /// How the time from there on is divided.
-    stop: RefCell<Stopping>,
+    /// What the process is at: whether it takes clients, and which of them are to go.
+    life: RefCell<Life>,
+    figures: Rc<Figures>,
     /// Idle connections are to be closed.
     closing: watch::Sender<bool>,
     clients: Rc<Clients>,
@@ -107,6 +108,7 @@
         wire: WireSettings,
         dialect: Dialect,
         caps: Caps,
+        figures: Rc<Figures>,
     ) -> Rc<Self> {
         let longest = settings.classes.iter().map(|c| c.deadline).fold(0.0, Time::max);
         Rc::new(Self {
@@ -115,8 +117,8 @@
             wire,
             dialect,
             start: Instant::now(),
-            stopping: Cell::new(None),
-            stop: RefCell::new(Stopping::new(longest)),
+            life: RefCell::new(Life::new(longest)),
+            figures,
             closing: watch::Sender::new(false),
             clients: Clients::new(caps.clients),
             in_hand: Cell::new(None),
@@ -129,8 +131,7 @@
         let accepting = self.clone().accept(&listener);
         let stopped = async {
             stop.await;
-            self.stopping.set(Some(Instant::now()));
-            let serves = self.stop.borrow().serves();
+            let serves = self.life.borrow_mut().stop(self.now());
             tokio::time::sleep(serves).await;
         };
         tokio::select! {
@@ -155,10 +156,40 @@
         }
     }
 
+    /// Answers an operator.
+    pub fn operate(&self, call: Call) -> String {
+        let mut life = self.life.borrow_mut();
+        match call {
+            Call::Check if !self.engine.listed() => "NO no list of backends yet\n".into(),
+            Call::Check if !life.takes_clients() => "NO takes no clients\n".into(),
+            Call::Check => "YES takes clients\n".into(),
+            Call::Vars => {
+                let (listed, avoided) = self.engine.members();
+                calls::vars(&self.figures, Members { listed, avoided })
+            }
+            Call::DrainOn => {
+                life.drain_on(self.now());
+                "YES drains\n".into()
+            }
+            Call::DrainOff => {
+                life.drain_off();
+                match life.takes_clients() {
+                    true => "YES takes clients\n".into(),
+                    false => "NO it stops, or another process has its address\n".into(),
+                }
+            }
+        }
+    }
+
+    fn now(&self) -> Duration {
+        self.start.elapsed()
+    }
+
     async fn sweep(&self) {
         loop {
             tokio::time::sleep(clients::STEP).await;
-            self.clients.sweep();
+            let rested = self.life.borrow().closes_rested(self.now());
+            self.clients.sweep(rested);
         }
     }
 
@@ -198,7 +229,8 @@
                 // What is wrong once is not given another try on the same connection: the rest of
                 // it may be anything, and each try has its price.
                 let wrong = reply.extensions().get::<Unusable>().is_some();
-                if full || wrong || *server.closing.borrow() {
+                let goes = server.life.borrow().says_close(server.now());
+                if full || wrong || goes || *server.closing.borrow() {
                     reply.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
                 }
                 Ok::<_, Infallible>(reply)
@@ -228,7 +260,7 @@
 
     async fn reply(&self, request: hyper::Request<Incoming>, client: &Client, full: bool) -> Reply {
         if request.uri().path() == "/-/ready" {
-            return match self.engine.listed() && self.stopping.get().is_none() {
+            return match self.engine.listed() && self.life.borrow().ready() {
                 true => plain(StatusCode::OK, "ready\n"),
                 false => plain(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
             };
@@ -240,11 +272,12 @@
         };
         client.opened();
         let _room = asked.room;
+        let taken = self.figures.take(asked.request.class);
         if full {
+            taken.end(Ending::Rejected);
             return plain(StatusCode::SERVICE_UNAVAILABLE, "too many connections\n");
         }
-        if let Some(stopping) = self.stopping.get() {
-            let left = self.stop.borrow().left(stopping.elapsed());
+        if let Some(left) = self.life.borrow().left(self.now()) {
             asked.request.budget = asked.request.budget.min(left.as_secs_f64());
         }
         let Some((id, answer)) = self.engine.request(asked.txn, asked.request, asked.payload) else {
@@ -255,8 +288,13 @@
         let answer = answer.await;
         drop(leaving); // it has had its answer: nothing is told
         if let Ok(Answer::Served(_)) = answer {
-            self.stop.borrow_mut().served(self.start.elapsed(), asked.elapsed());
+            self.life.borrow_mut().served(self.now(), asked.elapsed());
         }
+        taken.end(match answer {
+            Ok(Answer::Served(_)) => Ending::Completed,
+            Ok(Answer::Refused(..)) => Ending::Rejected,
+            Ok(Answer::Failed(_)) | Err(_) => Ending::Failed,
+        });
         match answer {
             // 503 says that trying again does no harm, whoever words it: a backend's own does not
             // go through where the request may have run.
--- /dev/null
+++ b/crates/operate/src/calls.rs
@@ -0,0 +1,108 @@
+//! What operators ask, read from a line, and what they are told. No I/O.
+
+use crate::figures::{Figures, Members};
+use std::fmt::Write;
+
+/// What each figure's name begins with.
+const PREFIX: &str = "edge_relay";
+/// The longest line that is a call, in bytes, its end not counted.
+pub const MOST_LINE: usize = 64;
+/// As much of an unknown call is shown again.
+const SHOWN: usize = 32;
+
+/// What an operator asks.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Call {
+    /// Does this process take clients?
+    Check,
+    /// The figures.
+    Vars,
+    /// Empty the proxy.
+    DrainOn,
+    /// Take clients again.
+    DrainOff,
+}
+
+/// The calls by their names.
+const CALLS: [(&str, Call); 4] = [
+    ("check", Call::Check),
+    ("vars", Call::Vars),
+    ("drain-on", Call::DrainOn),
+    ("drain-off", Call::DrainOff),
+];
+
+impl Call {
+    /// Reads a line, its end left off. What is no call is answered with what is given here.
+    pub fn read(line: &[u8]) -> Result<Self, String> {
+        let names = || CALLS.map(|(name, _)| name).join(", ");
+        if line.len() > MOST_LINE {
+            return Err(format!("NO line too long: expected {}, got more than {MOST_LINE} bytes\n", names()));
+        }
+        let text = line.trim_ascii();
+        let found = CALLS.iter().find(|(name, _)| name.as_bytes() == text);
+        found.map(|(_, call)| *call).ok_or_else(|| {
+            let got = text[..text.len().min(SHOWN)].escape_ascii();
+            format!("NO unknown call: expected {}, got '{got}'\n", names())
+        })
+    }
+}
+
+/// The figures as text, a line each, and a line that ends them.
+pub fn vars(figures: &Figures, members: Members) -> String {
+    let mut text = String::new();
+    let mut line = |name: std::fmt::Arguments<'_>, value: u64| {
+        let _ = writeln!(text, "{PREFIX}.{name}={value}"); // writing to a string does not fail
+    };
+    for (class, tally) in figures.classes() {
+        line(format_args!("downstream_requests.{class}.completed"), tally.completed);
+        line(format_args!("downstream_requests.{class}.rejected"), tally.rejected);
+        line(format_args!("downstream_requests.{class}.failed"), tally.failed);
+    }
+    line(format_args!("upstream_requests"), figures.attempts());
+    line(format_args!("pending"), figures.pending());
+    line(format_args!("members"), members.listed as u64);
+    line(format_args!("members_unavailable"), members.avoided as u64);
+    text.push_str("END\n");
+    text
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn calls_are_read_and_all_else_is_told_what_was_expected() {
+        for (name, call) in CALLS {
+            assert_eq!(Call::read(name.as_bytes()), Ok(call));
+            assert_eq!(Call::read(format!("{name} \r").as_bytes()), Ok(call));
+        }
+        for line in [&b""[..], b"drain", b"CHECK", b"vars vars", b"\xff\x00\n", &[b'a'; 65]] {
+            let no = Call::read(line).unwrap_err();
+            assert!(no.starts_with("NO ") && no.contains("check, vars, drain-on, drain-off"), "{no}");
+            assert!(no.is_ascii() && no.len() < 250 && no.matches('\n').count() == 1, "{no}");
+        }
+    }
+
+    #[test]
+    fn figures_are_lines_and_end() {
+        let figures = Figures::new(vec!["look".into(), "save".into()]);
+        let (one, _two) = (figures.take(0), figures.take(1));
+        one.end(crate::figures::Ending::Completed);
+        figures.count_attempt();
+        let text = vars(&figures, Members { listed: 5, avoided: 2 });
+        let lines: Vec<_> = text.lines().collect();
+        for line in [
+            "edge_relay.downstream_requests.look.completed=1",
+            "edge_relay.downstream_requests.save.completed=0",
+            "edge_relay.downstream_requests.save.rejected=0",
+            "edge_relay.downstream_requests.look.failed=0",
+            "edge_relay.upstream_requests=1",
+            "edge_relay.pending=1",
+            "edge_relay.members=5",
+            "edge_relay.members_unavailable=2",
+        ] {
+            assert!(lines.contains(&line), "{line} in {text}");
+        }
+        assert_eq!(lines.last(), Some(&"END"));
+    }
+}
--- /dev/null
+++ b/crates/operate/src/life.rs
@@ -0,0 +1,183 @@
+//! The life of a process: serving, draining, handed over to another one, stopping. It says what is answered at
+//! `/-/ready`, whether connections are taken, and which are closed. No I/O and no clock: times are counted from any
+//! moment that stays.
+
+use crate::stopping::Stopping;
+use gannetproxy::Time;
+use std::time::Duration;
+
+/// The front goes on dealing out connections for so long after a drain began: what is closed before comes back.
+const FRONT_SEES: Duration = Duration::from_millis(500);
+/// From then on a connection is closed that has rested for so long between two requests,
+const RESTED: Duration = Duration::from_millis(100);
+/// and so long after the drain began any that has no request in hand.
+const EMPTY_BY: Duration = Duration::from_secs(2);
+
+/// Where a process stands. Each way on from here is one of the methods of [`Life`].
+pub struct Life {
+    /// When a drain began, if one is on.
+    draining: Option<Duration>,
+    /// When another process took over the address, if one has.
+    handed_over: Option<Duration>,
+    /// When it was told to stop, and for how long it goes on as before.
+    stopping: Option<(Duration, Duration)>,
+    stops: Stopping,
+}
+
+impl Life {
+    /// Of a proxy whose classes have deadlines up to that, in seconds.
+    pub fn new(longest: Time) -> Self {
+        Self { draining: None, handed_over: None, stopping: None, stops: Stopping::new(longest) }
+    }
+
+    /// A request was served, and that took so long.
+    pub fn served(&mut self, now: Duration, took: Duration) {
+        self.stops.served(now, took);
+    }
+
+    /// Empty the proxy. One that drains already goes on with that.
+    pub fn drain_on(&mut self, now: Duration) {
+        self.draining.get_or_insert(now);
+    }
+
+    /// Take clients again. Does nothing for one that stops.
+    pub fn drain_off(&mut self) {
+        self.draining = None;
+    }
+
+    /// Another process takes what comes to the address from now on.
+    pub fn hand_over(&mut self, now: Duration) {
+        self.handed_over.get_or_insert(now);
+    }
+
+    /// That one is gone again.
+    pub fn take_back(&mut self) {
+        self.handed_over = None;
+    }
+
+    /// It is told to stop: clients are served for so long as before. Being told again changes nothing.
+    pub fn stop(&mut self, now: Duration) -> Duration {
+        self.stopping.get_or_insert_with(|| (now, self.stops.serves())).1
+    }
+
+    /// The time for serving clients as before is over.
+    pub fn closes(&self, now: Duration) -> bool {
+        self.stopping.is_some_and(|(since, serves)| now.saturating_sub(since) >= serves)
+    }
+
+    /// This process takes clients.
+    pub fn takes_clients(&self) -> bool {
+        self.draining.is_none() && self.handed_over.is_none() && self.stopping.is_none()
+    }
+
+    /// It takes connections from the system. One that drains does: the front deals them out for a while yet.
+    pub fn accepts(&self) -> bool {
+        self.handed_over.is_none()
+    }
+
+    /// What `/-/ready` says, where there is a list. It speaks for the address: a process that has handed it over says
+    /// yes for the one that took it, also while it stops.
+    pub fn ready(&self) -> bool {
+        self.draining.is_none() && (self.handed_over.is_some() || self.stopping.is_none())
+    }
+
+    /// Clients are told with each answer that their connection closes behind it.
+    pub fn says_close(&self, now: Duration) -> bool {
+        self.draining.is_some() || self.handed_over.is_some() || self.closes(now)
+    }
+
+    /// A connection with no request in hand that has rested for so long is to be closed now; none where it
+    /// need not be.
+    pub fn closes_rested(&self, now: Duration) -> Option<Duration> {
+        if self.closes(now) {
+            return Some(Duration::ZERO);
+        }
+        let drains = now.saturating_sub(self.draining?);
+        match drains {
+            drains if drains >= EMPTY_BY => Some(Duration::ZERO),
+            drains if drains >= FRONT_SEES => Some(RESTED),
+            _ => None,
+        }
+    }
+
+    /// How long a request may take that comes now, where the process is to stop.
+    pub fn left(&self, now: Duration) -> Option<Duration> {
+        self.stopping.map(|(since, _)| self.stops.left(now.saturating_sub(since)))
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+
+    fn ms(ms: u64) -> Duration {
+        Duration::from_millis(ms)
+    }
+
+    #[test]
+    fn a_drain_tells_then_closes_and_is_undone() {
+        let mut life = Life::new(5.0);
+        assert!(life.ready() && life.takes_clients() && !life.says_close(ms(0)));
+        life.drain_on(ms(1000));
+        life.drain_on(ms(2000)); // it goes on from where it was
+        assert!(!life.ready() && !life.takes_clients() && life.accepts() && life.says_close(ms(1000)));
+        assert_eq!(life.closes_rested(ms(1100)), None, "the front has not seen it");
+        assert_eq!(life.closes_rested(ms(1500)), Some(ms(100)));
+        assert_eq!(life.closes_rested(ms(3000)), Some(ms(0)));
+        life.drain_off();
+        assert!(life.ready() && life.takes_clients() && !life.says_close(ms(3100)));
+        assert_eq!(life.closes_rested(ms(9000)), None);
+    }
+
+    #[test]
+    fn a_stop_ends_a_drain_and_is_not_undone() {
+        let mut life = Life::new(5.0);
+        life.drain_on(ms(0));
+        let serves = life.stop(ms(100));
+        life.drain_off();
+        assert!(!life.ready() && !life.takes_clients() && !life.says_close(ms(200)));
+        assert_eq!(life.stop(ms(5000)), serves, "told twice");
+        assert!(life.closes(ms(100) + serves) && life.says_close(ms(100) + serves));
+        assert_eq!(life.closes_rested(ms(100) + serves), Some(ms(0)));
+        assert_eq!(life.left(ms(1100)), Some(ms(2500)));
+    }
+
+    #[test]
+    fn what_is_handed_over_speaks_for_the_address() {
+        let mut life = Life::new(5.0);
+        life.hand_over(ms(0));
+        assert!(life.ready() && !life.takes_clients() && !life.accepts() && life.says_close(ms(0)));
+        life.stop(ms(10));
+        assert!(life.ready(), "the other one serves on");
+        let mut life = Life::new(5.0);
+        life.hand_over(ms(0));
+        life.take_back();
+        assert!(life.takes_clients() && life.accepts() && !life.says_close(ms(1)));
+    }
+
+    proptest! {
+        /// In whichever order things are told: who drains does not say yes, who takes clients says yes and tells
+        /// nobody to go, and whoever is to stop closes everything in time.
+        #[test]
+        fn no_order_of_orders_contradicts_itself(steps in prop::collection::vec((0..5u8, 0..2000u64), 0..40)) {
+            let (mut life, mut now, mut drains, mut stops) = (Life::new(5.0), 0, false, None);
+            for (step, later) in steps {
+                now += later;
+                match step {
+                    0 => { life.drain_on(ms(now)); drains = true; }
+                    1 => { life.drain_off(); drains = false; }
+                    2 => life.hand_over(ms(now)),
+                    3 => life.take_back(),
+                    _ => { life.stop(ms(now)); stops = stops.or(Some(now)); }
+                }
+                prop_assert!(!(drains && life.ready()));
+                prop_assert!(!life.takes_clients() || (life.ready() && life.accepts() && !life.says_close(ms(now))));
+                prop_assert!(!life.takes_clients() || (!drains && stops.is_none()));
+                if let Some(since) = stops {
+                    prop_assert_eq!(life.closes_rested(ms(since + 3000)), Some(ms(0)));
+                }
+            }
+        }
+    }
+}
--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -248,6 +248,13 @@
         seen.map(|(id, known)| (*id, take(known))).collect()
     }
 
+    /// How many backends the list names, and how many of them are avoided now.
+    pub fn members(&self) -> (usize, usize) {
+        let state = self.state.borrow();
+        let listed = state.endpoints.values().filter(|known| known.gate.listed()).count();
+        (listed, state.balancer.avoided().min(listed))
+    }
+
     /// There is a list to go by.
     pub fn listed(&self) -> bool {
         self.listed.get()
--- a/src/engine/upstream.rs
+++ b/src/engine/upstream.rs
@@ -75,6 +75,11 @@
         self.last_send.get().is_some_and(|last| clock.now() >= last)
     }
 
+    /// The list still names it.
+    pub fn listed(&self) -> bool {
+        !self.gone.get()
+    }
+
     /// It is gone, and its grace is over.
     pub fn forgettable(&self, clock: &Clock) -> bool {
         self.gone.get() && self.ended(clock)
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -396,6 +396,12 @@
         self.by_backend.len()
     }
 
+    /// Listed backends that it avoids now: those that drain, and members far slower than the best.
+    pub fn avoided(&self) -> usize {
+        let drains = self.backends.iter().filter(|b| b.entry.status == Status::Draining).count();
+        drains + self.subset.len() - self.sound().count()
+    }
+
     /// Decides what to do about `event`, which happens at `now`.
     pub fn handle(&mut self, now: Time, event: Event<'_>, actions: &mut Vec<Action>) {
         self.now = self.now.max(now);
