A new process takes the clients' address over under load; nothing that waits there is lost

Change: crates/handover passes the listening socket over a Unix socket in $TMPDIR; SO_REUSEPORT where the old process gives none. The old one tells its clients to go with their next answers and ends by SIGTERM; it takes clients again where the new one dies. Both keep to half of the caps meanwhile.

--- /dev/null
+++ b/crates/dewpier/src/beside.rs
@@ -0,0 +1,117 @@
+//! A platform's proxy that is started while an older one serves its address: takes the socket over, and gives it to
+//! the next one.
+
+use dewpier_handover::giver::Do;
+use dewpier_handover::io::{self as handover, Found, Given};
+use dewpier_http::server::{self, Server};
+use std::io;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::TcpListener;
+
+/// An address that is in use is tried again for so long: an older process that shares it with nobody may be about
+/// to end. A new one has 6 s to say yes.
+const TRIES: Duration = Duration::from_secs(5);
+const TRY: Duration = Duration::from_millis(50);
+/// A process that gives nothing, and whose end is not seen, is taken to be there for so long: until its stop is
+/// over, as the platform has it.
+const THERE_FOR: Duration = Duration::from_secs(12);
+
+/// Where the process that serves an address is asked for its socket, if there is a folder for that.
+pub fn place(address: SocketAddr) -> Option<PathBuf> {
+    let folder = std::env::var_os("TMPDIR").filter(|folder| !folder.is_empty())?;
+    Some(handover::place(Path::new(&folder), address))
+}
+
+/// The process that was here before.
+pub enum Before {
+    /// There was none.
+    None,
+    /// It gave its socket.
+    Given(Given),
+    /// It is there, and did not.
+    Hidden,
+}
+
+impl Before {
+    /// It shares the limits.
+    pub fn runs(&self) -> bool {
+        !matches!(self, Self::None)
+    }
+
+    /// Tells it that this process accepts now.
+    pub async fn taking(&mut self) {
+        if let Self::Given(given) = self
+            && let Err(error) = given.taking().await
+        {
+            eprintln!("dewpier: the process before is gone: {error}");
+        }
+    }
+
+    /// Waits until it has ended, as far as can be told.
+    pub async fn ended(&mut self) {
+        match self {
+            Self::None => {}
+            Self::Given(given) => given.ended().await,
+            Self::Hidden => tokio::time::sleep(THERE_FOR).await,
+        }
+    }
+}
+
+/// The listening socket: the one of the process before if it gives it, else one of this process's own.
+pub async fn listener(address: SocketAddr, place: Option<&Path>) -> io::Result<(TcpListener, Before)> {
+    let found = match place {
+        Some(place) => handover::ask(place).await,
+        None => Found::Nobody,
+    };
+    let before = match found {
+        Found::Given(given) if given.listener.local_addr()? == address => {
+            let listener = TcpListener::from_std(given.listener.try_clone()?)?;
+            return Ok((listener, Before::Given(given)));
+        }
+        Found::Given(_) | Found::Nobody => Before::None,
+        Found::Kept(why) => {
+            eprintln!("dewpier: the process before gives no socket: {why}");
+            Before::Hidden
+        }
+    };
+    let begun = tokio::time::Instant::now();
+    loop {
+        match server::bind_beside(address) {
+            Err(error) if error.kind() == io::ErrorKind::AddrInUse && begun.elapsed() < TRIES => {
+                tokio::time::sleep(TRY).await;
+            }
+            bound => return Ok((bound?, before)),
+        }
+    }
+}
+
+/// Another handle of the same socket, to give away.
+pub fn copy(listener: &TcpListener) -> io::Result<std::os::fd::OwnedFd> {
+    std::os::fd::AsFd::as_fd(listener).try_clone_to_owned()
+}
+
+/// Gives the socket to newer processes. Where that can't be, this says so once, and they bind for themselves.
+pub async fn give(place: Option<&Path>, socket: io::Result<std::os::fd::OwnedFd>, server: Rc<Server>) {
+    let Some(place) = place else { return };
+    let ready = socket.and_then(|socket| Ok((handover::listen(place)?, socket)));
+    let (door, socket) = match ready {
+        Ok(ready) => ready,
+        Err(error) => return eprintln!("dewpier: no handover at {}: {error}", place.display()),
+    };
+    let act = move |done| match done {
+        Do::Beside(beside) => server.beside(beside),
+        Do::HandOver => {
+            eprintln!("dewpier: a new process takes the address over");
+            server.hand_over();
+        }
+        Do::TakeBack => {
+            eprintln!("dewpier: the new process is gone: taking clients again");
+            server.take_back();
+        }
+        Do::Give(_) | Do::Tell(..) | Do::Drop(_) => {}
+    };
+    handover::attend(door, socket, act).await;
+}
--- a/crates/dewpier/src/lib.rs
+++ b/crates/dewpier/src/lib.rs
@@ -6,6 +6,7 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+mod beside;
 pub mod config;
 pub mod error;
 mod feed;
--- a/crates/dewpier/src/platform.rs
+++ b/crates/dewpier/src/platform.rs
@@ -1,5 +1,6 @@
 //! The platform's proxy: starts it, has it read its configuration again on SIGHUP, stops it on SIGTERM.
 
+use crate::beside;
 use dewpier_http::backend::{Answers, Http, Reuse};
 use dewpier_http::config::{Config, ConfigError, Wins};
 use dewpier_http::discovery::Discovery;
@@ -10,8 +11,13 @@
 use dewpier_operate::io as operators;
 use gannetproxy::engine::Engine;
 use std::rc::Rc;
+use std::time::Duration;
 use thiserror::Error;
 use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::Notify;
+
+/// How often a process that takes over looks whether it knows a backend.
+const LOOK: Duration = Duration::from_millis(5);
 
 /// Why it does not start.
 #[derive(Debug, Error)]
@@ -30,9 +36,11 @@
     let mut reload = signal(SignalKind::hangup())?;
     let mut stop = signal(SignalKind::terminate())?;
     let config = Config::from_env(Wins::Environment)?;
-    let listener = server::bind(config.listen)?;
+    let place = beside::place(config.listen);
+    let (listener, mut before) = beside::listener(config.listen, place.as_deref()).await?;
     let address = listener.local_addr()?;
     eprintln!("dewpier: listening on {address}");
+    let copy = beside::copy(&listener);
     let operators = config.operator.map(server::bind).transpose()?;
     if let Some(operators) = &operators {
         eprintln!("dewpier: operators call at {}", operators.local_addr()?);
@@ -69,8 +77,35 @@
             None => std::future::pending().await,
         }
     };
+    // What comes while this process knows no backend is for the other one.
+    server.beside(before.runs());
+    let (joins, joined) = (server.clone(), Notify::new());
+    let serving = async {
+        while before.runs() && !joins.listed() {
+            tokio::time::sleep(LOOK).await;
+        }
+        before.taking().await;
+        joined.notify_one();
+        let ended = async {
+            before.ended().await;
+            joins.beside(false);
+            std::future::pending().await
+        };
+        tokio::select! {
+            () = server.run(listener, async move { stop.recv().await.unwrap_or_default() }) => {}
+            () = ended => {}
+        }
+    };
+    // The place is this one's once it serves: a newer one is to ask the process that does.
+    let (gives, place) = (joins.clone(), beside::place(address));
+    let giving = async {
+        joined.notified().await;
+        beside::give(place.as_deref(), copy, gives).await;
+        std::future::pending::<()>().await;
+    };
     tokio::select! {
-        () = server.run(listener, async move { stop.recv().await.unwrap_or_default() }) => {}
+        () = serving => {}
+        () = giving => {}
         () = reloading => {}
         () = operating => {}
     }
--- /dev/null
+++ b/crates/handover/src/io/mod.rs
@@ -0,0 +1,205 @@
+//! The thin part: a Unix socket beside the clients' address, and descriptors sent over it.
+
+use crate::giver::{Do, Event, Giver, Peer};
+use crate::message::{MOST_LINE, Message, VERSION};
+use rustix::net::{
+    RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags, SendAncillaryBuffer, SendAncillaryMessage,
+    SendFlags, recvmsg, sendmsg,
+};
+use std::cell::RefCell;
+use std::io::{self, IoSlice, IoSliceMut};
+use std::mem::MaybeUninit;
+use std::net::{SocketAddr, TcpListener};
+use std::os::fd::{AsFd, OwnedFd};
+use std::path::{Path, PathBuf};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt, Interest};
+use tokio::net::{UnixListener, UnixStream};
+
+/// Who is asked must answer within this: a process that hangs must not keep the new one from starting.
+const ANSWERED_WITHIN: Duration = Duration::from_secs(1);
+/// Who comes must have said what it wants by then.
+const SAID_WITHIN: Duration = Duration::from_secs(1);
+/// New processes that are listened to at once; others wait in the system's queue.
+const MOST_PEERS: usize = 4;
+/// After an accept that failed.
+const PAUSE: Duration = Duration::from_millis(50);
+
+/// Where the process that serves an address is asked for its socket.
+pub fn place(folder: &Path, address: SocketAddr) -> PathBuf {
+    folder.join(format!("dewpier-{address}.handover"))
+}
+
+/// What a process that starts has found.
+#[derive(Debug)]
+pub enum Found {
+    /// Nobody serves the address, as far as can be told.
+    Nobody,
+    /// Somebody does, and gave its socket.
+    Given(Given),
+    /// Somebody does, and gave none: why.
+    Kept(String),
+}
+
+/// A socket that was handed over, and the connection to the process that gave it.
+#[derive(Debug)]
+pub struct Given {
+    /// The socket.
+    pub listener: TcpListener,
+    stream: UnixStream,
+}
+
+impl Given {
+    /// Tells the other one that this process accepts now.
+    pub async fn taking(&mut self) -> io::Result<()> {
+        self.stream.write_all(Message::Taking.to_string().as_bytes()).await
+    }
+
+    /// Waits until the other one has ended.
+    pub async fn ended(&mut self) {
+        let mut space = [0; MOST_LINE];
+        // It has nothing more to say; whatever comes is passed over.
+        while self.stream.read(&mut space).await.is_ok_and(|read| read > 0) {}
+    }
+}
+
+/// Asks the process that serves the address, if there is one, for its socket.
+pub async fn ask(place: &Path) -> Found {
+    let Ok(stream) = UnixStream::connect(place).await else { return Found::Nobody };
+    match tokio::time::timeout(ANSWERED_WITHIN, asked(stream)).await {
+        Ok(Ok(found)) => found,
+        Ok(Err(error)) => Found::Kept(error.to_string()),
+        Err(_) => Found::Kept("no answer in time".into()),
+    }
+}
+
+async fn asked(mut stream: UnixStream) -> io::Result<Found> {
+    stream.write_all(Message::Hello(VERSION).to_string().as_bytes()).await?;
+    let (line, descriptor) = stream.async_io(Interest::READABLE, || receive(&stream)).await?;
+    match (Message::read(&line), descriptor) {
+        (Some(Message::Listener), Some(descriptor)) => {
+            let listener = TcpListener::from(descriptor);
+            listener.local_addr()?; // a socket of another kind is none
+            listener.set_nonblocking(true)?;
+            Ok(Found::Given(Given { listener, stream }))
+        }
+        (Some(no), None) => Ok(Found::Kept(no.to_string().trim_end().to_string())),
+        _ => Ok(Found::Kept("an answer that makes no sense".into())),
+    }
+}
+
+fn receive(stream: &UnixStream) -> io::Result<(Vec<u8>, Option<OwnedFd>)> {
+    let mut line = [0; MOST_LINE];
+    let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(1))];
+    let mut control = RecvAncillaryBuffer::new(&mut space);
+    let mut parts = [IoSliceMut::new(&mut line)];
+    let received = recvmsg(stream, &mut parts, &mut control, RecvFlags::CMSG_CLOEXEC)?;
+    let rights = control.drain().find_map(|message| match message {
+        RecvAncillaryMessage::ScmRights(mut rights) => rights.next(),
+        _ => None,
+    });
+    Ok((line[..received.bytes.min(MOST_LINE)].to_vec(), rights))
+}
+
+fn send(stream: &UnixStream, listener: &impl AsFd) -> io::Result<()> {
+    let line = Message::Listener.to_string();
+    let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(1))];
+    let mut control = SendAncillaryBuffer::new(&mut space);
+    let descriptors = [listener.as_fd()];
+    control.push(SendAncillaryMessage::ScmRights(&descriptors));
+    // So short a line goes out whole or not at all.
+    sendmsg(stream, &[IoSlice::new(line.as_bytes())], &mut control, SendFlags::NOSIGNAL)?;
+    Ok(())
+}
+
+/// Listens there for new processes, in place of whoever did so before.
+pub fn listen(place: &Path) -> io::Result<UnixListener> {
+    // Bound under a name of its own and moved: at no moment is there no socket to ask.
+    let new = place.with_extension(format!("{}", std::process::id()));
+    match std::fs::remove_file(&new) {
+        Err(error) if error.kind() != io::ErrorKind::NotFound => return Err(error),
+        _ => {}
+    }
+    let listener = UnixListener::bind(&new)?;
+    std::fs::rename(&new, place)?;
+    Ok(listener)
+}
+
+/// Gives `listener` to new processes, one at a time, until it is dropped. What the process itself has to do about it
+/// goes to `act`.
+pub async fn attend(door: UnixListener, listener: impl AsFd + 'static, act: impl Fn(Do) + 'static) {
+    let shared = Rc::new(Shared { giver: RefCell::default(), listener, act });
+    let mut next: Peer = 0;
+    let mut peers = tokio::task::JoinSet::new();
+    loop {
+        while peers.len() >= MOST_PEERS {
+            peers.join_next().await;
+        }
+        tokio::select! {
+            accepted = door.accept() => match accepted {
+                Ok((stream, _)) => {
+                    next += 1;
+                    peers.spawn_local(shared.clone().serve(next, stream));
+                }
+                Err(_) => tokio::time::sleep(PAUSE).await,
+            },
+            Some(_) = peers.join_next() => {}
+        }
+    }
+}
+
+struct Shared<L, A> {
+    giver: RefCell<Giver>,
+    listener: L,
+    act: A,
+}
+
+impl<L: AsFd, A: Fn(Do)> Shared<L, A> {
+    async fn serve(self: Rc<Self>, peer: Peer, mut stream: UnixStream) {
+        // Its first line must come; after that the connection stands for as long as the process lives.
+        let mut within = SAID_WITHIN;
+        while let Ok(Ok(line)) = tokio::time::timeout(within, line(&mut stream)).await {
+            let Some(message) = Message::read(&line) else { break };
+            if !self.handle(Event::Said(peer, message), &mut stream).await {
+                break;
+            }
+            within = Duration::from_secs(u64::from(u32::MAX));
+        }
+        self.handle(Event::Gone(peer), &mut stream).await;
+    }
+
+    /// False where the connection is to end.
+    async fn handle(&self, event: Event, stream: &mut UnixStream) -> bool {
+        let todo = self.giver.borrow_mut().handle(event);
+        let mut stays = true;
+        for done in todo {
+            let sent = match done {
+                Do::Give(_) => stream.async_io(Interest::WRITABLE, || send(stream, &self.listener)).await,
+                Do::Tell(_, message) => stream.write_all(message.to_string().as_bytes()).await,
+                Do::Drop(_) => {
+                    stays = false;
+                    Ok(())
+                }
+                Do::Beside(_) | Do::HandOver | Do::TakeBack => {
+                    (self.act)(done);
+                    Ok(())
+                }
+            };
+            stays &= sent.is_ok();
+        }
+        stays
+    }
+}
+
+/// A line with its end; an error where the other side has ended, or says too much.
+async fn line(stream: &mut UnixStream) -> io::Result<Vec<u8>> {
+    let mut line = Vec::new();
+    while line.last() != Some(&b'\n') {
+        if line.len() >= MOST_LINE {
+            return Err(io::ErrorKind::InvalidData.into());
+        }
+        line.push(stream.read_u8().await?);
+    }
+    Ok(line)
+}
--- a/crates/http/src/clients.rs
+++ b/crates/http/src/clients.rs
@@ -113,8 +113,8 @@
 /// All connections of clients.
 pub struct Clients {
     all: RefCell<Vec<Rc<Client>>>,
-    most: usize,
-    over: usize,
+    most: Cell<usize>,
+    over: Cell<usize>,
     left: Notify,
 }
 
@@ -141,8 +141,22 @@
 impl Clients {
     /// Room for so many.
     pub fn new(most: usize) -> Rc<Self> {
+        let clients = Self {
+            all: RefCell::default(),
+            most: Cell::default(),
+            over: Cell::default(),
+            left: Notify::new(),
+        };
+        clients.bound(most);
+        Rc::new(clients)
+    }
+
+    /// Room for so many from now on. Where there are more, those without a request in hand go at the next sweeps,
+    /// the longest rested first.
+    pub fn bound(&self, most: usize) {
         let over = most / OVERFLOW;
-        Rc::new(Self { all: RefCell::default(), most: most - over, over, left: Notify::new() })
+        self.most.set(most - over);
+        self.over.set(over);
     }
 
     /// There are none.
@@ -155,12 +169,12 @@
     /// refused although room was made for them.
     pub fn full(&self) -> bool {
         let all = self.all.borrow();
-        all.iter().filter(|c| !c.ending.get()).count() > self.most
+        all.iter().filter(|c| !c.ending.get()).count() > self.most.get()
     }
 
     /// There is no room for those to be refused either.
     pub fn crowded(&self) -> bool {
-        self.all.borrow().len() >= self.most + self.over
+        self.all.borrow().len() >= self.most.get() + self.over.get()
     }
 
     /// Takes in a connection.
@@ -191,7 +205,7 @@
     pub fn make_room(&self) -> bool {
         let all = self.all.borrow();
         let ending = all.iter().filter(|c| c.ending.get()).count();
-        if all.len() < self.most + ending {
+        if all.len() < self.most.get() + ending {
             return true;
         }
         let longest = |enough: &dyn Fn(&Client) -> bool| {
@@ -215,6 +229,11 @@
                 && rested.is_some_and(|r| c.since.get().elapsed() >= r)
         };
         all.iter().filter(|c| !c.ending.get() && (c.overdue() || rests(c))).for_each(|c| c.close());
+        let mut idle: Vec<_> = all.iter().filter(|c| !c.ending.get() && !c.open.get()).collect();
+        let stay = all.iter().filter(|c| !c.ending.get()).count();
+        idle.sort_by_key(|c| c.since.get());
+        let over = stay.saturating_sub(self.most.get() + self.over.get());
+        idle.into_iter().take(over).for_each(|c| c.close());
     }
 }
 
--- a/crates/http/src/limits.rs
+++ b/crates/http/src/limits.rs
@@ -25,6 +25,13 @@
 }
 
 impl Caps {
+    /// These, or half of them while another process shares the limits.
+    pub fn shared(self, beside: bool) -> Self {
+        let part = |cap: usize| if beside { (cap / 2).max(1) } else { cap };
+        let Self { clients, backends, bodies } = self;
+        Self { clients: part(clients), backends: part(backends), bodies: part(bodies).max(MOST_BODY) }
+    }
+
     /// The caps of a process with so many descriptors and bytes of memory. Clients get the larger
     /// part of the descriptors, as connections that ask for nothing are among theirs.
     pub fn new(descriptors: usize, memory: usize) -> Self {
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -24,7 +24,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 use tokio::time::Instant;
 
 /// So many steps without a request in hand, after that, and connections are no longer waited for.
@@ -52,6 +52,11 @@
     in_hand: Cell<Option<TcpStream>>,
     /// Room for the bodies of requests.
     bodies: Rc<Budget>,
+    caps: Caps,
+    /// Other processes that share the limits.
+    others: Cell<usize>,
+    /// Whether connections are accepted may have changed.
+    changed: Notify,
 }
 
 /// Tells the engine that the client has left, if it is dropped before the answer.
@@ -123,6 +128,9 @@
             clients: Clients::new(caps.clients),
             in_hand: Cell::new(None),
             bodies: Budget::new(caps.bodies),
+            caps,
+            others: Cell::new(0),
+            changed: Notify::new(),
         })
     }
 
@@ -132,7 +140,13 @@
         let stopped = async {
             stop.await;
             let serves = self.life.borrow_mut().stop(self.now());
-            tokio::time::sleep(serves).await;
+            let waits = async {
+                // After a handover nobody new comes, and who is left is told with an answer.
+                while self.life.borrow().accepts() || !self.clients.is_empty() {
+                    tokio::time::sleep(STEP).await;
+                }
+            };
+            let _ = tokio::time::timeout(serves, waits).await; // or it is over before
         };
         tokio::select! {
             () = accepting => {}
@@ -143,7 +157,9 @@
         if let Some(stream) = self.in_hand.take() {
             self.clone().serve(stream, self.clients.admit());
         }
-        while let Ok(Ok((stream, _))) = tokio::time::timeout(Duration::ZERO, listener.accept()).await {
+        while self.life.borrow().accepts()
+            && let Ok(Ok((stream, _))) = tokio::time::timeout(Duration::ZERO, listener.accept()).await
+        {
             self.clone().serve(stream, self.clients.admit());
         }
         drop(listener);
@@ -156,6 +172,33 @@
         }
     }
 
+    /// There is a list to go by.
+    pub fn listed(&self) -> bool {
+        self.engine.listed()
+    }
+
+    /// Another process shares the limits from now on, or one does no longer.
+    pub fn beside(&self, beside: bool) {
+        let others = self.others.get();
+        self.others.set(if beside { others + 1 } else { others.saturating_sub(1) });
+        let caps = self.caps.shared(self.others.get() > 0);
+        self.clients.bound(caps.clients);
+        self.bodies.bound(caps.bodies);
+        self.engine.upstream().connections.bound(caps.backends);
+    }
+
+    /// Another process accepts what comes to the address from now on.
+    pub fn hand_over(&self) {
+        self.life.borrow_mut().hand_over(self.now());
+        self.changed.notify_one();
+    }
+
+    /// It is gone again.
+    pub fn take_back(&self) {
+        self.life.borrow_mut().take_back();
+        self.changed.notify_one();
+    }
+
     /// Answers an operator.
     pub fn operate(&self, call: Call) -> String {
         let mut life = self.life.borrow_mut();
@@ -195,7 +238,16 @@
 
     async fn accept(self: Rc<Self>, listener: &TcpListener) {
         loop {
-            let stream = match listener.accept().await {
+            if !self.life.borrow().accepts() {
+                self.changed.notified().await;
+                continue;
+            }
+            let accepted = tokio::select! {
+                biased; // what another process is to accept is not taken from it
+                () = self.changed.notified() => continue,
+                accepted = listener.accept() => accepted,
+            };
+            let stream = match accepted {
                 Ok((stream, _)) => stream,
                 Err(error) => {
                     eprintln!("accept: {error}");
@@ -319,13 +371,23 @@
     }
 }
 
-/// Binds the listener.
+/// Binds a listener.
 pub fn bind(address: std::net::SocketAddr) -> io::Result<TcpListener> {
+    bound(address, false)
+}
+
+/// Binds a listener at an address where another process of this user may listen as well.
+pub fn bind_beside(address: std::net::SocketAddr) -> io::Result<TcpListener> {
+    bound(address, true)
+}
+
+fn bound(address: std::net::SocketAddr, beside: bool) -> io::Result<TcpListener> {
     let socket = match address.is_ipv4() {
         true => tokio::net::TcpSocket::new_v4()?,
         false => tokio::net::TcpSocket::new_v6()?,
     };
     socket.set_reuseaddr(true)?;
+    socket.set_reuseport(beside)?;
     socket.bind(address)?;
     socket.listen(1024)
 }
--- a/src/engine/budget.rs
+++ b/src/engine/budget.rs
@@ -6,7 +6,7 @@
 /// So much of something may be in use, all together.
 pub struct Budget {
     used: Cell<usize>,
-    most: usize,
+    most: Cell<usize>,
 }
 
 /// A part of a budget, given back when it is dropped.
@@ -18,17 +18,22 @@
 impl Budget {
     /// Room for so much.
     pub fn new(most: usize) -> Rc<Self> {
-        Rc::new(Self { used: Cell::new(0), most })
+        Rc::new(Self { used: Cell::new(0), most: Cell::new(most) })
+    }
+
+    /// Room for so much from now on. What is out beyond that stays until it comes back.
+    pub fn bound(&self, most: usize) {
+        self.most.set(most);
     }
 
     /// There is room for none.
     pub fn full(&self) -> bool {
-        self.used.get() >= self.most
+        self.used.get() >= self.most.get()
     }
 
     /// Takes a part, if there is room for it.
     pub fn take(self: &Rc<Self>, part: usize) -> Option<Permit> {
-        (part <= self.most - self.used.get()).then(|| {
+        (part <= self.most.get().saturating_sub(self.used.get())).then(|| {
             self.used.set(self.used.get() + part);
             Permit { budget: self.clone(), part }
         })
--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -221,6 +221,11 @@
         engine
     }
 
+    /// The kind of backends.
+    pub fn upstream(&self) -> &U {
+        &self.upstream
+    }
+
     /// The module's clock.
     pub fn clock(&self) -> &Clock {
         &self.clock
