--- a/crates/dewpier/src/beside.rs
+++ b/crates/dewpier/src/beside.rs
@@ -10,6 +10,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpListener;
+use tokio::sync::Notify;
 
 /// An address that is in use is tried again for so long: an older process that shares it with nobody may be about
 /// to end. A new one has 6 s to say yes.
@@ -33,6 +34,8 @@
     Given(Given),
     /// It is there, and did not.
     Hidden,
+    /// The same, and it goes on being asked by others.
+    Asked,
 }
 
 impl Before {
@@ -41,6 +44,11 @@
         !matches!(self, Self::None)
     }
 
+    /// Newer processes are to ask this one from now on, and not that.
+    pub fn yields(&self) -> bool {
+        !matches!(self, Self::Asked)
+    }
+
     /// Tells it that this process accepts now.
     pub async fn taking(&mut self) {
         if let Self::Given(given) = self
@@ -55,7 +63,7 @@
         match self {
             Self::None => {}
             Self::Given(given) => given.ended().await,
-            Self::Hidden => tokio::time::sleep(THERE_FOR).await,
+            Self::Hidden | Self::Asked => tokio::time::sleep(THERE_FOR).await,
         }
     }
 }
@@ -72,6 +80,10 @@
             return Ok((listener, Before::Given(given)));
         }
         Found::Given(_) | Found::Nobody => Before::None,
+        Found::Busy => {
+            eprintln!("dewpier: the process before gives its socket to another one: listening beside");
+            Before::Asked
+        }
         Found::Kept(why) => {
             eprintln!("dewpier: the process before gives no socket: {why}");
             Before::Hidden
@@ -96,12 +108,24 @@
 /// Gives the socket to newer processes. Where that can't be, this says so once, and they bind for themselves.
 pub async fn give(place: Option<&Path>, socket: io::Result<std::os::fd::OwnedFd>, server: Rc<Server>) {
     let Some(place) = place else { return };
-    let ready = socket.and_then(|socket| Ok((handover::listen(place)?, socket)));
-    let (door, socket) = match ready {
-        Ok(ready) => ready,
-        Err(error) => return eprintln!("dewpier: no handover at {}: {error}", place.display()),
-    };
-    let act = move |done| match done {
+    let again = Rc::new(Notify::new());
+    loop {
+        let copy = socket.as_ref().map_err(|error| io::Error::from(error.kind())).and_then(|s| s.try_clone());
+        let (door, copy) = match copy.and_then(|copy| Ok((handover::listen(place)?, copy))) {
+            Ok(ready) => ready,
+            Err(error) => return eprintln!("dewpier: no handover at {}: {error}", place.display()),
+        };
+        // A process that took over and is gone has left the place to nobody.
+        tokio::select! {
+            () = handover::attend(door, copy, act(server.clone(), again.clone())) => {}
+            () = again.notified() => {}
+        }
+    }
+}
+
+/// What this process does about a newer one.
+fn act(server: Rc<Server>, again: Rc<Notify>) -> impl Fn(Do) + 'static {
+    move |done| match done {
         Do::Beside(beside) => server.beside(beside),
         Do::HandOver => {
             eprintln!("dewpier: a new process takes the address over");
@@ -110,8 +134,8 @@
         Do::TakeBack => {
             eprintln!("dewpier: the new process is gone: taking clients again");
             server.take_back();
+            again.notify_one();
         }
         Do::Give(_) | Do::Tell(..) | Do::Drop(_) => {}
-    };
-    handover::attend(door, socket, act).await;
+    }
 }
--- a/crates/dewpier/src/platform.rs
+++ b/crates/dewpier/src/platform.rs
@@ -85,7 +85,9 @@
             tokio::time::sleep(LOOK).await;
         }
         before.taking().await;
-        joined.notify_one();
+        if before.yields() {
+            joined.notify_one();
+        }
         let ended = async {
             before.ended().await;
             joins.beside(false);
--- a/crates/dewpier/tests/common/sockets.rs
+++ b/crates/dewpier/tests/common/sockets.rs
@@ -63,12 +63,37 @@
     }
 
     pub fn with(config: &Value, discovery: SocketAddr) -> Self {
+        let (command, path) = command(&config.to_string(), discovery);
+        Self::spawn(command, path, config).expect("it starts")
+    }
+
+    /// One at that address, perhaps beside another one that shares the folder with it; none where it ends.
+    pub fn at(
+        address: &str,
+        config: &Value,
+        discovery: SocketAddr,
+        folder: &std::path::Path,
+    ) -> Option<Self> {
         let (mut command, path) = command(&config.to_string(), discovery);
+        command.env("RELAY_LISTEN", address).env("TMPDIR", folder);
+        Self::spawn(command, path, config)
+    }
+
+    fn spawn(mut command: Command, path: std::path::PathBuf, config: &Value) -> Option<Self> {
         let mut child = command.stderr(Stdio::piped()).spawn().unwrap();
         let mut log = BufReader::new(child.stderr.take().unwrap());
         let mut line = String::new();
-        log.read_line(&mut line).unwrap();
-        let address = line.trim().strip_prefix("dewpier: listening on ").expect(&line).parse().unwrap();
+        // What it has to say of an older process comes before.
+        let address = loop {
+            line.clear();
+            if log.read_line(&mut line).unwrap() == 0 {
+                let _ = child.wait();
+                return None;
+            }
+            if let Some(address) = line.trim().strip_prefix("dewpier: listening on ") {
+                break address.parse().unwrap();
+            }
+        };
         let operator = config.get("operator").map(|_| {
             line.clear();
             log.read_line(&mut line).unwrap();
@@ -76,7 +101,7 @@
         });
         // Its log is read on, lest it block.
         std::thread::spawn(move || std::io::copy(&mut log, &mut std::io::sink()));
-        Self { child, path, address, operator }
+        Some(Self { child, path, address, operator })
     }
 
     /// Replaces the file of its configuration.
--- a/crates/handover/src/io/mod.rs
+++ b/crates/handover/src/io/mod.rs
@@ -38,6 +38,8 @@
     Nobody,
     /// Somebody does, and gave its socket.
     Given(Given),
+    /// Somebody does, and gives it to another new process just now.
+    Busy,
     /// Somebody does, and gave none: why.
     Kept(String),
 }
@@ -84,6 +86,7 @@
             listener.set_nonblocking(true)?;
             Ok(Found::Given(Given { listener, stream }))
         }
+        (Some(Message::Busy), None) => Ok(Found::Busy),
         (Some(no), None) => Ok(Found::Kept(no.to_string().trim_end().to_string())),
         _ => Ok(Found::Kept("an answer that makes no sense".into())),
     }
