--- /dev/null
+++ b/crates/dewpier/tests/streams.rs
@@ -0,0 +1,233 @@
+//! Bodies and answers of any size through the platform's program, in little memory, over loopback sockets.
+
+#[path = "common/sockets.rs"]
+mod sockets;
+
+use dewpier_standins::bulk::{self, Bulk, Came, Framing};
+use dewpier_standins::message::read_head;
+use dewpier_standins::rng::Rng;
+use serde_json::json;
+use sockets::*;
+use std::io::{BufReader, Write};
+use std::net::TcpStream;
+use std::sync::atomic::Ordering;
+use std::time::{Duration, Instant};
+
+const MB: usize = 1 << 20;
+/// Streams at once in each direction, and their size; more by the environment variable `STREAM_MB`.
+const STREAMS: usize = 100;
+const STREAM_MB: usize = 4;
+/// What the process may hold of memory while they are under way, in kB.
+const MOST_KB: u64 = 48 << 10;
+
+fn proxy(bulk: &Bulk) -> Proxy {
+    let listed = list(1, true, &[entry("s-0", bulk.address, "SERVING")]);
+    let mut settings = settings();
+    settings["projects"] = json!([{"name": "acme", "quota-per-s": 100_000.0, "share": 1.0}]);
+    let mut config = config_of(&settings, &listed);
+    config["limits"] = json!({"cores": 1.0, "memory_mb": 48, "sockets": 1024});
+    config["operator"] = json!("127.0.0.1:0");
+    let proxy = Proxy::with(&config, quiet().address);
+    wait_for("a yes", || proxy.call("check").starts_with("YES"));
+    proxy
+}
+
+/// A request's head, its framing and its end left off.
+fn head(class: &str, query: &str) -> String {
+    let request = request(class, 20_000).replace("?q=1", &format!("?{query}"));
+    request.split("Content-Length").next().unwrap().to_string()
+}
+
+/// The most memory that the process has held, in kB.
+fn most_held(proxy: &Proxy) -> u64 {
+    let status = std::fs::read_to_string(format!("/proc/{}/status", proxy.child.id())).unwrap();
+    let line = status.lines().find_map(|l| l.strip_prefix("VmHWM:")).unwrap();
+    line.trim().strip_suffix(" kB").unwrap().parse().unwrap()
+}
+
+/// An answer to a request without a body: its status and how its body came.
+fn fetch(stream: &mut BufReader<TcpStream>, head: &str, wait: impl FnMut(usize)) -> (u16, Came) {
+    stream.get_mut().write_all(format!("{head}Content-Length: 0\r\n\r\n").as_bytes()).unwrap();
+    let answer = read_head(stream).expect("an answer");
+    (answer.status(), bulk::read(stream, &answer.headers, wait))
+}
+
+#[test]
+fn long_answers_pass_by_the_hundred_in_little_memory() {
+    let size = std::env::var("STREAM_MB").ok().and_then(|mb| mb.parse().ok()).unwrap_or(STREAM_MB) * MB;
+    let bulk = Bulk::start();
+    let proxy = proxy(&bulk);
+    std::thread::scope(|scope| {
+        for n in 0..STREAMS {
+            let (proxy, framing) = (&proxy, ["length", "chunked", "close"][n % 3]);
+            scope.spawn(move || {
+                let mut stream = proxy.connect();
+                let (status, came) =
+                    fetch(&mut stream, &head("order", &format!("size={size}&framing={framing}")), |_| {});
+                assert_eq!((status, came), (200, Came { size, right: true, whole: true }), "{framing}");
+                // The connection goes on.
+                let (status, came) = fetch(&mut stream, &head("look", "size=70000"), |_| {});
+                assert_eq!((status, came.size, came.right), (200, 70_000, true));
+            });
+        }
+    });
+    assert!(most_held(&proxy) < MOST_KB, "{} kB", most_held(&proxy));
+    wait_for("all counted", || proxy.figure("pending") == 0);
+    assert_eq!(proxy.figure("downstream_requests.order.completed"), STREAMS as u64);
+    assert_eq!(proxy.figure("upstream_requests"), 2 * STREAMS as u64);
+}
+
+#[test]
+fn long_bodies_pass_by_the_hundred_in_little_memory() {
+    let size = std::env::var("STREAM_MB").ok().and_then(|mb| mb.parse().ok()).unwrap_or(STREAM_MB) * MB;
+    let bulk = Bulk::start();
+    let proxy = proxy(&bulk);
+    std::thread::scope(|scope| {
+        for n in 0..STREAMS {
+            let (proxy, framing) = (&proxy, [Framing::Length, Framing::Chunked][n % 2]);
+            scope.spawn(move || {
+                let mut stream = proxy.connect();
+                bulk::write(stream.get_mut(), &head("order", "size=5"), framing, size, None).unwrap();
+                assert_eq!(read(&mut stream).expect("an answer").status(), 200, "{framing:?}");
+                // The connection goes on.
+                assert_eq!(ask(&mut stream, &request("look", 9000)).status(), 200);
+            });
+        }
+    });
+    assert!(most_held(&proxy) < MOST_KB, "{} kB", most_held(&proxy));
+    let looks = bulk.bodies[1].load(Ordering::SeqCst);
+    assert_eq!(bulk.bodies[0].load(Ordering::SeqCst) + looks, 2 * STREAMS);
+    assert_eq!(looks, STREAMS, "short bodies are others than these");
+}
+
+#[test]
+fn bodies_of_every_framing_and_size_arrive_as_they_are() {
+    let bulk = Bulk::start();
+    let proxy = proxy(&bulk);
+    let mut stream = proxy.connect();
+    let sizes = [0, 1, 65_535, 65_536, 65_537, 131_072, MB + 1];
+    for size in sizes {
+        for framing in [Framing::Length, Framing::Chunked] {
+            for class in ["look", "save", "order"] {
+                bulk::write(stream.get_mut(), &head(class, "size=3"), framing, size, None).unwrap();
+                let answer = read(&mut stream).unwrap_or_else(|| panic!("no answer: {size} {framing:?}"));
+                assert_eq!(answer.status(), 200, "{size} {framing:?}");
+            }
+        }
+    }
+    assert_eq!(bulk.bodies[0].load(Ordering::SeqCst), sizes.len() * 6);
+    // A client of an older version, one that names the host in its target, and one that waits to be told to go on.
+    let old = head("look", "size=70000&framing=chunked").replace("HTTP/1.1", "HTTP/1.0");
+    let mut stream = proxy.connect();
+    let (status, came) = fetch(&mut stream, &old, |_| {});
+    assert_eq!((status, came), (200, Came { size: 70_000, right: true, whole: true }));
+    let whole = head("look", "size=9").replace("GET /", "GET http://other.svc/");
+    assert_eq!(fetch(&mut proxy.connect(), &whole, |_| {}).0, 200);
+    let mut stream = proxy.connect();
+    let expects =
+        format!("{}Expect: 100-continue\r\nContent-Length: 100000\r\n\r\n", head("order", "size=1"));
+    stream.get_mut().write_all(expects.as_bytes()).unwrap();
+    assert_eq!(read_head(&mut stream).expect("a word").status(), 100);
+    let mut at = 0;
+    while at < 100_000 {
+        let piece = bulk::part(at, 100_000 - at);
+        stream.get_mut().write_all(piece).unwrap();
+        at += piece.len();
+    }
+    assert_eq!(read(&mut stream).expect("an answer").status(), 200);
+    // Two requests in one piece, the first one chunked: both are answered, though the second on a connection that
+    // may have to be made anew.
+    let mut stream = proxy.connect();
+    let mut both = Vec::new();
+    bulk::write(&mut both, &head("look", "size=2"), Framing::Chunked, 100, None).unwrap();
+    both.extend_from_slice(request("look", 9000).as_bytes());
+    stream.get_mut().write_all(&both).unwrap();
+    assert_eq!([read(&mut stream).unwrap().status(), read(&mut stream).unwrap().status()], [200, 200]);
+}
+
+#[test]
+fn answers_that_break_off_are_seen_to() {
+    let bulk = Bulk::start();
+    let proxy = proxy(&bulk);
+    let mut rng = Rng::from_env("SEED", 35);
+    for n in 0..40 {
+        let framing = ["length", "chunked"][n % 2];
+        let size = 70_000 + rng.below(MB);
+        let cut = 66_000 + rng.below(size - 66_000);
+        let query = format!("size={size}&framing={framing}&cut={cut}");
+        let (status, came) = fetch(&mut proxy.connect(), &head("order", &query), |_| {});
+        assert_eq!((status, came.right, came.whole), (200, true, false), "{query}");
+        assert!(came.size <= cut, "{query}: {came:?}");
+    }
+    wait_for("all counted", || proxy.figure("pending") == 0);
+    assert_eq!(proxy.figure("downstream_requests.order.failed"), 40);
+    assert_eq!(proxy.figure("downstream_requests.order.completed"), 0);
+}
+
+#[test]
+fn bodies_that_break_off_never_arrive_whole() {
+    let bulk = Bulk::start();
+    let proxy = proxy(&bulk);
+    let mut rng = Rng::from_env("SEED", 36);
+    for n in 0..40 {
+        let framing = [Framing::Length, Framing::Chunked][n % 2];
+        let size = 70_000 + rng.below(MB);
+        let cut = 66_000 + rng.below(size - 66_000);
+        let mut stream = proxy.connect();
+        bulk::write(stream.get_mut(), &head("order", "size=5"), framing, size, Some(cut)).unwrap();
+        stream.get_mut().shutdown(std::net::Shutdown::Write).unwrap();
+        let answer = read(&mut stream).map(|answer| answer.status());
+        assert!(answer.is_none_or(|status| status >= 400), "{answer:?}");
+    }
+    wait_for("all ended", || proxy.figure("pending") == 0);
+    assert_eq!(bulk.bodies[0].load(Ordering::SeqCst), 0);
+    assert_eq!(proxy.figure("upstream_requests"), 0, "none was written whole");
+}
+
+#[test]
+fn an_answer_before_the_body_has_come_is_passed_on() {
+    let bulk = Bulk::start();
+    let proxy = proxy(&bulk);
+    let mut stream = proxy.connect();
+    let text = format!("{}Content-Length: {}\r\n\r\n", head("order", "early=1"), 8 * MB);
+    stream.get_mut().write_all(text.as_bytes()).unwrap();
+    stream.get_mut().write_all(bulk::part(0, 60_000)).unwrap();
+    assert_eq!(read(&mut stream).expect("an answer").status(), 503);
+}
+
+#[test]
+fn slow_peers_are_served_by_their_rate() {
+    let bulk = Bulk::start();
+    let proxy = proxy(&bulk);
+    std::thread::scope(|scope| {
+        // 64 kB a second, for 4 s: longer than any fixed time that a short request has.
+        let uploads = scope.spawn(|| {
+            let mut stream = proxy.connect();
+            let head = format!("{}Content-Length: 256000\r\n\r\n", head("order", "size=5"));
+            for byte in head.as_bytes().chunks(head.len() / 10) {
+                stream.get_mut().write_all(byte).unwrap();
+                std::thread::sleep(Duration::from_millis(150));
+            }
+            let mut at = 0;
+            while at < 256_000 {
+                let piece = bulk::part(at, 6400.min(256_000 - at));
+                stream.get_mut().write_all(piece).unwrap();
+                at += piece.len();
+                std::thread::sleep(Duration::from_millis(100));
+            }
+            assert_eq!(read(&mut stream).expect("an answer").status(), 200);
+        });
+        let reads = scope.spawn(|| {
+            let begun = Instant::now();
+            let (mut stream, size) = (proxy.connect(), 6 * MB);
+            let query = format!("size={size}&framing=chunked");
+            let (status, came) = fetch(&mut stream, &head("order", &query), |read| {
+                std::thread::sleep(Duration::from_secs(4).mul_f64(read as f64 / size as f64));
+            });
+            assert_eq!((status, came), (200, Came { size, right: true, whole: true }));
+            assert!(begun.elapsed() > Duration::from_secs(3), "it was not slow");
+        });
+        uploads.join().unwrap();
+        reads.join().unwrap();
+    });
+}
--- a/crates/http/src/backend.rs
+++ b/crates/http/src/backend.rs
@@ -1,16 +1,16 @@
 //! Backends that speak HTTP: their idle connections, attempts and probes on them, and the exact
 //! outcome of each.
 
+use crate::body::{Given, Outgoing, Passing, Progress};
 use crate::headers::end_to_end;
 use crate::limits::{Budget, Permit};
 use crate::payload::Payload;
-use crate::peer::{HELD, Peer, Spoilt, connect};
-use bytes::Bytes;
+use crate::peer::{Came, HELD, Peer, Spoilt, connect};
 use dewpier_operate::figures::Attempts;
 use dewpier_reuse::{Odds, Price, Shared, Stake};
 use gannetproxy::engine::{Attempt, Done, Upstream};
 use gannetproxy::{Outcome, Report};
-use http_body_util::Full;
+use hyper::body::Body;
 use hyper::header::{CONTENT_TYPE, HeaderMap, HeaderValue};
 use hyper::{Method, Request, StatusCode};
 use std::cell::{Cell, RefCell};
@@ -163,7 +163,7 @@
     /// Its headers, but for those of the connection.
     pub headers: HeaderMap,
     /// Its body.
-    pub body: Bytes,
+    pub body: Given,
 }
 
 /// Which answers of a backend serve a request, and what of them goes on.
@@ -250,8 +250,17 @@
     ) -> impl Future<Output = Done<Served>> + 'static {
         let (answers, attempts) = (self.answers, self.attempts.clone());
         async move {
-            let request = || payload.request(attempt.until - attempt.clock.now());
-            exchange(&endpoint, &attempt, answers, Some(attempts), payload.stake, request).await
+            let passes = match payload.passes() {
+                // What is passed on is out already, with another attempt: this one has nothing to send.
+                Some(None) => return Done::without_answer(Outcome::NeverSent),
+                Some(passes) => passes,
+                None => None,
+            };
+            let asks = Asks { answers, counts: Some(attempts), stake: payload.stake, passes, long: true };
+            let request =
+                |progress: Option<&Progress>| payload.request(attempt.until - attempt.clock.now(), progress);
+            let long = |served| attempt.begin.with(served);
+            exchange(&endpoint, &attempt, asks, payload.method == Method::HEAD, request, long).await
         }
     }
 
@@ -262,35 +271,56 @@
     ) -> impl Future<Output = Done<()>> + 'static {
         let path = self.probe_path;
         async move {
-            let request = || {
-                let mut request = Request::new(Full::default());
+            let request = |_: Option<&Progress>| {
+                let mut request = Request::new(Outgoing::default());
                 *request.uri_mut() = hyper::Uri::from_static(path);
                 request.headers_mut().insert("host", HeaderValue::from_static("backend"));
                 request
             };
             let within = 4 * endpoint.connect_timeout;
-            let probed = exchange(&endpoint, &attempt, Answers::Platform, None, Stake::Wait, request);
+            let asks = Asks {
+                answers: Answers::Platform,
+                counts: None,
+                stake: Stake::Wait,
+                passes: None,
+                long: false,
+            };
+            let probed = exchange(&endpoint, &attempt, asks, false, request, |_| false);
             let late = Done::without_answer(Outcome::Timeout);
             let done = tokio::time::timeout(within, probed).await.unwrap_or(late);
-            let body = done.served.as_ref().and_then(|s| report(&s.body));
+            let body = done.served.as_ref().and_then(|s| match &s.body {
+                Given::Whole(body) => report(body),
+                Given::Passed(_) => None,
+            });
             Done { outcome: done.outcome, served: None, fallback: None, report: done.report.or(body) }
         }
     }
 }
 
-async fn exchange<R>(
-    endpoint: &Endpoint,
-    attempt: &Attempt<R>,
+/// How an exchange goes.
+struct Asks {
     answers: Answers,
     counts: Option<Attempts>,
     stake: Stake,
-    request: impl Fn() -> Request<Full<Bytes>>,
+    /// How far its body has come, where that is passed on, and how long the answer may take from its end on.
+    passes: Option<(Progress, Duration)>,
+    /// An answer of any length will do.
+    long: bool,
+}
+
+async fn exchange<R>(
+    endpoint: &Endpoint,
+    attempt: &Attempt<R>,
+    asks: Asks,
+    head_only: bool,
+    request: impl Fn(Option<&Progress>) -> Request<Outgoing>,
+    begin: impl Fn(Served) -> bool,
 ) -> Done<Served> {
+    let Asks { answers, counts, stake, passes, long } = asks;
     let written = &attempt.written;
-    let head_only = request().method() == Method::HEAD;
     let era = endpoint.era.get();
     let mut again = false;
-    let (peer, permit, head, body) = loop {
+    let (peer, permit, came) = loop {
         let Some(Ready { mut peer, permit, idle }) = endpoint.peer(stake).await else {
             return Done::without_answer(Outcome::NoConnection);
         };
@@ -302,14 +332,21 @@
         if !attempt.gate.may_send(&attempt.clock) {
             return Done::without_answer(Outcome::NoConnection);
         }
+        if passes.is_some() && !attempt.keep.only() {
+            return Done::without_answer(Outcome::NeverSent);
+        }
         written.set(true);
         let new = idle.is_none();
         let begun = Instant::now();
-        match peer.exchange(request(), counts.clone()).await {
-            Ok((head, body)) => {
+        let outgoing = request(passes.as_ref().map(|(progress, _)| progress));
+        match peer.exchange(outgoing, counts.clone(), passes.clone()).await {
+            Ok(came) => {
                 endpoint.used(idle, false);
-                break (peer, permit, head, body);
+                break (peer, permit, came);
             }
+            // Some of what is passed on is gone with it.
+            Err(Spoilt::Unsent) if passes.is_some() => return Done::without_answer(Outcome::NoConnection),
+            Err(Spoilt::Late) => return Done::without_answer(Outcome::Timeout),
             // One that was kept may have ended meanwhile; a second new one would end again.
             Err(Spoilt::Unsent) if new && again => return Done::without_answer(Outcome::NoConnection),
             Err(Spoilt::Unsent) => {
@@ -326,11 +363,27 @@
             }
         }
     };
-    if let Some(peer) = peer.checked()
-        && endpoint.era.get() == era
-    {
-        endpoint.idle.borrow_mut().push(Idle { peer, permit, since: Instant::now() });
-    }
+    let keep = |peer: Peer, permit: Permit| {
+        if let Some(peer) = peer.checked()
+            && endpoint.era.get() == era
+        {
+            endpoint.idle.borrow_mut().push(Idle { peer, permit, since: Instant::now() });
+        }
+    };
+    let (head, body, rest) = match came {
+        Came::Whole(head, body) => {
+            keep(peer, permit);
+            (head, Given::Whole(body), None)
+        }
+        Came::Begun(head, first, body) => {
+            if !long {
+                return Done::without_answer(Outcome::Reset);
+            }
+            let left = body.size_hint().exact();
+            let (passing, passed) = Passing::begin(first, left);
+            (head, Given::Passed(passed), Some((peer, permit, body, passing)))
+        }
+    };
     let turned_away = || head.headers.get("x-turned-away").is_some_and(|v| v == "1");
     let plain = answers == Answers::Plain;
     let outcome = match head.status {
@@ -351,6 +404,34 @@
         }
         answer = Some(Served { status: head.status, headers, body });
     }
+    if let Some((mut peer, permit, mut body, passing)) = rest {
+        let Some(answer) = answer.filter(|_| outcome == Outcome::Served) else {
+            return Done { outcome, served: None, fallback: None, report };
+        };
+        if !begin(answer) {
+            return Done::without_answer(Outcome::Cancelled);
+        }
+        loop {
+            // Read on where there is room for it; a client that leaves ends it.
+            let piece = tokio::select! {
+                piece = peer.piece(&mut body) => piece,
+                () = passing.gone() => return Done::without_answer(Outcome::Cancelled),
+            };
+            match piece {
+                Ok(Some(data)) if data.is_empty() => {}
+                Ok(Some(data)) => {
+                    if !passing.piece(data).await {
+                        return Done::without_answer(Outcome::Cancelled);
+                    }
+                }
+                Ok(None) => break,
+                Err(_) => return Done::without_answer(Outcome::Reset),
+            }
+        }
+        passing.end().await;
+        keep(peer, permit);
+        return Done { outcome, served: None, fallback: None, report };
+    }
     let (served, fallback) = if outcome == Outcome::Served { (answer, None) } else { (None, answer) };
     Done { outcome, served, fallback, report }
 }
--- a/crates/http/src/clients.rs
+++ b/crates/http/src/clients.rs
@@ -1,6 +1,7 @@
 //! The connections of clients: what each one is at, which have outstayed their time, and which
 //! goes when there is no room.
 
+use crate::headscan::HeadScan;
 use std::cell::{Cell, RefCell};
 use std::io;
 use std::pin::Pin;
@@ -12,9 +13,11 @@
 use tokio::sync::Notify;
 use tokio::time::{Instant, Sleep};
 
-/// A request that has begun must have come whole within this, and so must the first one of a
+/// The head of a request that has begun must have come whole within this, and so must the first one of a
 /// connection: guards against clients that say nothing, stop half way, or never come to an end.
-pub const READ_WITHIN: Duration = Duration::from_millis(2300);
+pub const READ_WITHIN: Duration = Duration::from_millis(2700);
+/// What is passed on and does not move for so long, in either direction, is cut.
+const STANDS: Duration = Duration::from_secs(15);
 /// A connection without an open request is kept for so long while there is room.
 const KEEP: Duration = Duration::from_secs(75);
 /// For want of room, one that has been without an open request for so long is closed,
@@ -47,19 +50,40 @@
     heard: Cell<bool>,
     /// Something came while a request was open.
     early: Cell<bool>,
+    /// The head of the request that is being read.
+    scan: Cell<HeadScan>,
+    /// That head has come whole, and its body has not.
+    body: Cell<bool>,
+    /// A body or an answer is being passed on, and when it last moved.
+    passing: Cell<bool>,
+    moved: Cell<Instant>,
+    /// It stands still, and is cut although a request is open.
+    cut: Cell<bool>,
     /// It is being closed for want of room, or has outstayed its time.
     ending: Cell<bool>,
     end: Notify,
 }
 
 impl Client {
-    /// When the request that is being read must have come whole.
-    pub fn read_until(&self) -> Instant {
-        self.begun.get().unwrap_or_else(Instant::now) + READ_WITHIN
+    /// The head of a request has come, and its body is being read.
+    pub fn head_read(&self) {
+        self.body.set(true);
     }
 
-    /// A whole request has come.
+    /// Whether the head that was read names a length, if that is known.
+    pub fn names_length(&self) -> Option<bool> {
+        self.scan.get().names_length()
+    }
+
+    /// Something is being passed on, or no longer.
+    pub fn passes(&self, passing: bool) {
+        self.moved.set(Instant::now());
+        self.passing.set(passing);
+    }
+
+    /// A whole request has come, or one whose body is passed on.
     pub fn opened(&self) {
+        self.body.set(false);
         self.open.set(true);
         self.asked.set(true);
         self.begun.set(None);
@@ -69,7 +93,14 @@
     pub fn answered(&self) {
         let now = Instant::now();
         self.open.set(false);
+        self.body.set(false);
+        self.passing.set(false);
         self.since.set(now);
+        let mut scan = HeadScan::default();
+        if self.early.get() {
+            scan.miss();
+        }
+        self.scan.set(scan);
         self.begun.set(self.early.take().then_some(now));
     }
 
@@ -77,17 +108,25 @@
     pub async fn ended(&self) {
         loop {
             self.end.notified().await;
-            if !self.open.get() {
+            if !self.open.get() || self.cut.get() {
                 return;
             }
             self.ending.set(false);
         }
     }
 
-    fn note(&self) {
+    fn note(&self, bytes: &[u8]) {
         self.heard.set(true);
-        if self.open.get() {
-            self.early.set(true);
+        self.moved.set(Instant::now());
+        if !self.open.get() && !self.body.get() {
+            let mut scan = self.scan.get();
+            scan.feed(bytes);
+            self.scan.set(scan);
+        }
+        if self.passing.get() && self.open.get() {
+            // Of a body, as far as can be told: where the next head begins is not known.
+        } else if self.open.get() || self.body.get() {
+            self.early.set(self.open.get());
         } else if self.begun.get().is_none() {
             self.begun.set(Some(Instant::now()));
         }
@@ -101,7 +140,12 @@
     fn overdue(&self) -> bool {
         // A body that does not come is answered by its reader; this is for all else.
         let unread = self.begun.get().is_some_and(|begun| begun.elapsed() > READ_WITHIN + STEP);
-        !self.open.get() && (unread || self.since.get().elapsed() > KEEP)
+        !self.open.get() && !self.body.get() && (unread || self.since.get().elapsed() > KEEP)
+    }
+
+    /// What is passed on stands still.
+    fn stands(&self) -> bool {
+        self.passing.get() && self.moved.get().elapsed() > STANDS
     }
 
     fn close(&self) {
@@ -186,6 +230,11 @@
             since: Cell::new(now),
             begun: Cell::new(Some(now)),
             heard: Cell::new(false),
+            scan: Cell::default(),
+            body: Cell::new(false),
+            passing: Cell::new(false),
+            moved: Cell::new(now),
+            cut: Cell::new(false),
             early: Cell::new(false),
             ending: Cell::new(false),
             end: Notify::new(),
@@ -209,7 +258,8 @@
             return true;
         }
         let longest = |enough: &dyn Fn(&Client) -> bool| {
-            let closable = all.iter().filter(|c| !c.open.get() && !c.ending.get() && enough(c));
+            let closable =
+                all.iter().filter(|c| !c.open.get() && !c.body.get() && !c.ending.get() && enough(c));
             closable.min_by_key(|c| c.since.get()).cloned()
         };
         let idle = longest(&|c| c.since.get().elapsed() >= IDLE_ENOUGH);
@@ -225,11 +275,17 @@
         let all = self.all.borrow();
         let rests = |c: &Client| {
             !c.open.get()
+                && !c.body.get()
                 && c.begun_request().is_none()
                 && rested.is_some_and(|r| c.since.get().elapsed() >= r)
         };
         all.iter().filter(|c| !c.ending.get() && (c.overdue() || rests(c))).for_each(|c| c.close());
-        let mut idle: Vec<_> = all.iter().filter(|c| !c.ending.get() && !c.open.get()).collect();
+        for client in all.iter().filter(|c| !c.cut.get() && c.stands()) {
+            client.cut.set(true);
+            client.close();
+        }
+        let mut idle: Vec<_> =
+            all.iter().filter(|c| !c.ending.get() && !c.open.get() && !c.body.get()).collect();
         let stay = all.iter().filter(|c| !c.ending.get()).count();
         idle.sort_by_key(|c| c.since.get());
         let over = stay.saturating_sub(self.most.get() + self.over.get());
@@ -261,7 +317,7 @@
         let before = buffer.filled().len();
         let read = Pin::new(&mut self.stream).poll_read(cx, buffer);
         if buffer.filled().len() > before {
-            self.client.note();
+            self.client.note(&buffer.filled()[before..]);
         }
         read
     }
@@ -269,7 +325,11 @@
 
 impl AsyncWrite for Socket {
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, data: &[u8]) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, data)
+        let written = Pin::new(&mut self.stream).poll_write(cx, data);
+        if matches!(written, Poll::Ready(Ok(n)) if n > 0) {
+            self.client.moved.set(Instant::now());
+        }
+        written
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
--- a/crates/http/src/discovery.rs
+++ b/crates/http/src/discovery.rs
@@ -1,13 +1,13 @@
 //! Discovery: the watch and fetch calls.
 
 use crate::backend::Http;
+use crate::body::Outgoing;
 use crate::config::WireSettings;
 use crate::listing::{Names, RawList};
 use crate::peer::{self, Peer};
-use bytes::Bytes;
 use gannetproxy::Settings;
 use gannetproxy::engine::{Ask, Engine, News};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Limited};
 use hyper::Request;
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
@@ -197,7 +197,7 @@
                 None => peer::connect(self.address.get(), PATIENCE).await.map_err(CallError::Connect)?,
             };
             let request = Request::get(path).header("host", self.address.get().to_string());
-            let Ok(request) = request.body(Full::new(Bytes::new())) else {
+            let Ok(request) = request.body(Outgoing::default()) else {
                 return Err(CallError::Status(0)); // a path of ours is always valid
             };
             let answer = peer.send(request).await.ok_or(CallError::Broken)?.map_err(|e| e.into_error())?;
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -4,10 +4,12 @@
 #![warn(missing_docs)]
 
 pub mod backend;
+pub mod body;
 pub mod clients;
 pub mod config;
 pub mod discovery;
 pub mod headers;
+mod headscan;
 pub mod limits;
 pub mod listing;
 pub mod payload;
--- a/crates/http/src/payload.rs
+++ b/crates/http/src/payload.rs
@@ -1,11 +1,23 @@
 //! A request as it goes on to backends.
 
+use crate::body::{Begun, Outgoing, Progress};
 use bytes::Bytes;
 use dewpier_reuse::Stake;
 use gannetproxy::Time;
 use http_body_util::Full;
 use hyper::header::{HeaderMap, HeaderValue};
 use hyper::{Method, Uri};
+use std::cell::RefCell;
+use std::time::Duration;
+
+/// The body of a request.
+#[derive(Debug)]
+pub enum Carried {
+    /// All of it is here, and may be sent again.
+    Whole(Bytes),
+    /// It is passed on, once. The client waits so long for the answer from its last byte on.
+    Passed(RefCell<Option<Begun>>, Duration),
+}
 
 /// A request as it goes on to backends.
 #[derive(Debug)]
@@ -17,15 +29,32 @@
     /// The headers that go on.
     pub headers: HeaderMap,
     /// Its body.
-    pub body: Bytes,
+    pub body: Carried,
     /// What a connection loses that swallows it.
     pub stake: Stake,
 }
 
 impl Payload {
-    /// The request for an attempt that is given up after `wait` seconds.
-    pub fn request(&self, wait: Time) -> hyper::Request<Full<Bytes>> {
-        let mut request = hyper::Request::new(Full::new(self.body.clone()));
+    /// How far its body has come, where it is passed on and has not been before, and how long it may then take.
+    pub fn passes(&self) -> Option<Option<(Progress, Duration)>> {
+        match &self.body {
+            Carried::Whole(_) => None,
+            Carried::Passed(begun, patience) => {
+                Some(begun.borrow().as_ref().map(|_| (Progress::default(), *patience)))
+            }
+        }
+    }
+
+    /// The request for an attempt that is given up after `wait` seconds. What is passed on goes with it.
+    pub fn request(&self, wait: Time, progress: Option<&Progress>) -> hyper::Request<Outgoing> {
+        let body = match &self.body {
+            Carried::Whole(body) => Outgoing::Whole(Full::new(body.clone())),
+            Carried::Passed(begun, _) => match begun.take() {
+                Some(begun) => Outgoing::Passed(begun, progress.cloned().unwrap_or_default()),
+                None => Outgoing::default(),
+            },
+        };
+        let mut request = hyper::Request::new(body);
         *request.method_mut() = self.method.clone();
         *request.uri_mut() = self.uri.clone();
         *request.headers_mut() = self.headers.clone();
--- a/crates/http/src/peer.rs
+++ b/crates/http/src/peer.rs
@@ -1,9 +1,10 @@
 //! One connection to a backend or to discovery, and one exchange on it.
 
+use crate::body::{Outgoing, Progress};
 use crate::limits::{MOST_BODY, MOST_HEAD};
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use dewpier_operate::figures::Attempts;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1;
 use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
@@ -59,16 +60,26 @@
     whole: AtomicBool,
     /// Where to count that, if it is to be counted.
     counts: Mutex<Option<Attempts>>,
+    /// How far its body has come, where that is passed on.
+    progress: Mutex<Option<Progress>>,
 }
 
 impl Way {
-    fn begin(&self, counts: Option<Attempts>) {
+    fn begin(&self, counts: Option<Attempts>, progress: Option<Progress>) {
+        if let Ok(mut followed) = self.progress.lock() {
+            *followed = progress;
+        }
         self.whole.store(false, Ordering::Relaxed);
         if let Ok(mut counted) = self.counts.lock() {
             *counted = counts;
         }
     }
 
+    /// More of its body is to come.
+    fn goes_on(&self) -> bool {
+        self.progress.lock().is_ok_and(|p| p.as_ref().is_some_and(|p| p.ended().is_none()))
+    }
+
     fn end(&self) {
         self.whole.store(true, Ordering::Relaxed);
         // Taken, as one request may be flushed more than once.
@@ -133,7 +144,9 @@
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        if self.held.is_some() {
+        if self.held.is_some() && self.way.goes_on() {
+            ready!(self.poll_held(cx))?;
+        } else if self.held.is_some() {
             ready!(self.wait.as_mut().poll(cx));
             ready!(self.poll_held(cx))?;
             self.way.end();
@@ -149,19 +162,19 @@
 /// A connection and what drives it. Nothing is read or written but while its owner waits on it,
 /// so that dropping it ends both at once.
 pub struct Peer {
-    sender: http1::SendRequest<Full<Bytes>>,
+    sender: http1::SendRequest<Outgoing>,
     io: Io,
     heard: Heard,
     way: Arc<Way>,
 }
 
 struct Io {
-    connection: Pin<Box<http1::Connection<TokioIo<Line>, Full<Bytes>>>>,
+    connection: Pin<Box<http1::Connection<TokioIo<Line>, Outgoing>>>,
     ended: bool,
 }
 
 /// What hyper says of a request that got no answer.
-pub type Sent = hyper::client::conn::TrySendError<Request<Full<Bytes>>>;
+pub type Sent = hyper::client::conn::TrySendError<Request<Outgoing>>;
 
 /// Why there is no answer.
 pub enum Spoilt {
@@ -169,6 +182,24 @@
     Unsent,
     /// It may have run.
     Sent,
+    /// It has no more time, and may have run.
+    Late,
+}
+
+/// An answer, or how it begins.
+pub enum Came {
+    /// All of it.
+    Whole(Parts, Bytes),
+    /// More than is held: so much has come, and the rest is to be read from the connection.
+    Begun(Parts, Bytes, Incoming),
+}
+
+/// Returns once a body that is passed on has ended for longer than its client waits.
+async fn late(passes: Option<(Progress, Duration)>) {
+    let Some((progress, patience)) = passes else { return std::future::pending().await };
+    while progress.ended().is_none_or(|at| at.elapsed() < patience) {
+        tokio::time::sleep(LOOK).await;
+    }
 }
 
 /// Connects.
@@ -192,22 +223,23 @@
     }
 
     /// Sends a request and waits for the head of the answer.
-    pub async fn send(&mut self, request: Request<Full<Bytes>>) -> Option<Result<Response<Incoming>, Sent>> {
+    pub async fn send(&mut self, request: Request<Outgoing>) -> Option<Result<Response<Incoming>, Sent>> {
         self.io.drive(self.sender.try_send_request(request)).await
     }
 
-    /// Sends a request and waits for the answer, which must come whole and be nothing but that:
-    /// one that stands still half way, or is too long, or might be read in two ways, is none.
+    /// Sends a request and waits for the answer, which must come whole, or be too long for that, and be nothing
+    /// else: one that stands still half way before that, or might be read in two ways, is none.
     /// That it has gone out whole is counted, where it is to be.
     pub async fn exchange(
         &mut self,
-        mut request: Request<Full<Bytes>>,
+        mut request: Request<Outgoing>,
         counts: Option<Attempts>,
-    ) -> Result<(Parts, Bytes), Spoilt> {
+        passes: Option<(Progress, Duration)>,
+    ) -> Result<Came, Spoilt> {
         let heard = self.heard.clone();
         heard.set(None);
         let way = self.way.clone();
-        way.begin(counts);
+        way.begin(counts, passes.as_ref().map(|(progress, _)| progress.clone()));
         let begun_anew = heard.clone();
         // 1xx answers come ahead of the one that counts, perhaps long ahead.
         hyper::ext::on_informational(&mut request, move |_| begun_anew.set(None));
@@ -218,20 +250,36 @@
                 _ if !way.whole.load(Ordering::Relaxed) => return Err(Spoilt::Unsent),
                 _ => return Err(Spoilt::Sent),
             };
-            let (head, body) = answer.into_parts();
+            let (head, mut body) = answer.into_parts();
             let double = [TRANSFER_ENCODING, CONTENT_LENGTH].iter().all(|n| head.headers.contains_key(n));
-            let long = body.size_hint().lower() > MOST_BODY as u64;
-            if double || long || head.status.is_informational() {
+            if double || head.status.is_informational() {
                 return Err(Spoilt::Sent);
             }
-            match self.drive(Limited::new(body, MOST_BODY).collect()).await {
-                Some(Ok(body)) => Ok((head, body.to_bytes())),
-                _ => Err(Spoilt::Sent),
+            let mut first = BytesMut::with_capacity(body.size_hint().lower().min(MOST_BODY as u64) as usize);
+            loop {
+                match self.drive(body.frame()).await {
+                    Some(Some(Ok(frame))) => first.extend_from_slice(&frame.into_data().unwrap_or_default()),
+                    Some(None) => return Ok(Came::Whole(head, first.freeze())),
+                    _ => return Err(Spoilt::Sent),
+                }
+                if first.len() > MOST_BODY {
+                    return Ok(Came::Begun(head, first.freeze(), body));
+                }
             }
         };
         tokio::select! {
             answered = answered => answered,
             () = heard.stalled() => Err(Spoilt::Sent),
+            () = late(passes) => Err(Spoilt::Late),
+        }
+    }
+
+    /// The next piece of an answer that goes on: none at its end, an error where it breaks.
+    pub async fn piece(&mut self, body: &mut Incoming) -> Result<Option<Bytes>, Spoilt> {
+        match self.drive(body.frame()).await {
+            Some(Some(Ok(frame))) => Ok(Some(frame.into_data().unwrap_or_default())),
+            Some(None) => Ok(None),
+            _ => Err(Spoilt::Sent),
         }
     }
 
--- a/crates/http/src/request.rs
+++ b/crates/http/src/request.rs
@@ -1,18 +1,21 @@
 //! Reading a client's request and checking it, all that is wrong with it among the errors.
 
+use crate::body::Begun;
 use crate::config::WireSettings;
 use crate::headers::onward;
 use crate::limits::{Budget, MOST_BODY, Permit};
-use crate::payload::Payload;
+use crate::payload::{Carried, Payload};
 use crate::routes::Routes;
 use bytes::{Bytes, BytesMut};
 use dewpier_reuse::Stake;
 use gannetproxy::{Class, Effect, Request, RequestId, Settings, Time};
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
-use hyper::header::{HeaderMap, TRANSFER_ENCODING};
+use hyper::header::{CONTENT_LENGTH, HeaderMap};
 use hyper::{Method, StatusCode};
+use std::cell::RefCell;
 use std::rc::Rc;
+use std::time::Duration;
 use thiserror::Error;
 use tokio::time::Instant;
 
@@ -43,11 +46,8 @@
     #[error("expected a path")]
     Target,
     /// Framing that might be read in two ways.
-    #[error("a Content-Length is needed")]
-    Length,
-    /// More than 64 KiB.
-    #[error("the body is too large")]
-    TooLarge,
+    #[error("expected one Content-Length, or 'chunked' as the only coding")]
+    Framing,
     /// The body broke off.
     #[error("the body broke off")]
     Broken,
@@ -63,16 +63,16 @@
     /// The status that tells of it.
     pub fn status(&self) -> StatusCode {
         match self {
-            Self::Header { .. } | Self::Method | Self::Target | Self::Broken => StatusCode::BAD_REQUEST,
-            Self::Length => StatusCode::LENGTH_REQUIRED,
-            Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::Header { .. } | Self::Method | Self::Target | Self::Framing | Self::Broken => {
+                StatusCode::BAD_REQUEST
+            }
             Self::Late => StatusCode::REQUEST_TIMEOUT,
             Self::NoRoom => StatusCode::SERVICE_UNAVAILABLE,
         }
     }
 }
 
-/// A request that has come whole and can be sent on.
+/// A request that has come whole, or goes on to come, and can be sent on.
 pub struct Asked {
     /// What the module is told; the engine gives it an id of its own.
     pub request: Request,
@@ -80,31 +80,44 @@
     pub txn: Option<u64>,
     /// What is sent on.
     pub payload: Payload,
-    /// The room that its body takes.
-    pub room: Permit,
+    /// The room that its body takes; one that is passed on keeps it by itself.
+    pub room: Option<Permit>,
 }
 
-/// Reads a request that must have come whole by `until`. What can be told from its head is
-/// refused before its body is read.
+/// A body that is read whole must have come so long after its head,
+const BODY_WITHIN: Duration = Duration::from_millis(2300);
+/// and a second later for each so many bytes of it: half of what the slowest clients send.
+const SLOWEST: u32 = 32 << 10;
+
+/// Reads a request. What can be told from its head is refused before its body is read. `names_length` says whether
+/// the raw head named a length, if that is known.
 pub async fn read(
     request: hyper::Request<Incoming>,
     settings: &Settings,
     wire: &WireSettings,
     dialect: &Dialect,
     bodies: &Rc<Budget>,
-    until: Instant,
+    names_length: Option<bool>,
 ) -> Result<Asked, Unfit> {
-    let (head, body) = request.into_parts();
-    // hyper takes the length away where both are given, and what one side reads as a body may be
-    // a request to the other: what has a coding is not taken at all, as clients send lengths.
-    if head.headers.contains_key(TRANSFER_ENCODING) {
-        return Err(Unfit::Length);
+    let (mut head, body) = request.into_parts();
+    // hyper takes the length away where a coding came before it, and what one side reads as a body may be
+    // a request to the other.
+    let coded = single(&head.headers, "transfer-encoding")?;
+    let lengths = head.headers.contains_key(CONTENT_LENGTH) || names_length == Some(true);
+    if coded.is_some_and(|coding| lengths || !coding.eq_ignore_ascii_case("chunked")) {
+        return Err(Unfit::Framing);
     }
-    let length = body.size_hint().exact().unwrap_or(u64::MAX);
-    let length = usize::try_from(length).ok().filter(|l| *l <= MOST_BODY).ok_or(Unfit::TooLarge)?;
-    if !head.uri.path().starts_with('/') || head.uri.authority().is_some() {
+    let length = body.size_hint().exact();
+    if !head.uri.path().starts_with('/') || head.uri.scheme_str().is_some_and(|s| s != "http") {
         return Err(Unfit::Target);
     }
+    // A target may name the host as well (RFC 9112, 3.2.2); what goes on is its path, and the host as named there.
+    if let (Some(authority), Some(path)) = (head.uri.authority(), head.uri.path_and_query()) {
+        let host = hyper::header::HeaderValue::from_str(authority.as_str()).map_err(|_| Unfit::Target)?;
+        single(&head.headers, "host")?;
+        head.headers.insert("host", host);
+        head.uri = path.as_str().parse().map_err(|_| Unfit::Target)?;
+    }
     let (txn, request) = match dialect {
         Dialect::Platform => {
             let (txn, request) = check(&head.method, &head.headers, settings, wire)?;
@@ -114,22 +127,46 @@
             (None, plain(&head.method, head.uri.path(), &head.headers, settings, routes)?)
         }
     };
-    let room = bodies.take(length).ok_or(Unfit::NoRoom)?;
-    let body = tokio::time::timeout_at(until, whole(body, length)).await.map_err(|_| Unfit::Late)??;
-    let stake = match settings.classes[request.class].effect {
-        Effect::Unsafe => Stake::Whole,
-        Effect::Safe | Effect::Keyed { .. } => Stake::Wait,
+    let most = length.map_or(MOST_BODY, |l| usize::try_from(l).unwrap_or(MOST_BODY).min(MOST_BODY));
+    let room = bodies.take(most).ok_or(Unfit::NoRoom)?;
+    let (body, room) = match whole(body, length).await? {
+        Read::Whole(body) => (Carried::Whole(body), Some(room)),
+        Read::Begun(first, rest) => {
+            let left = length.map(|length| length.saturating_sub(first.len() as u64));
+            let patience = Duration::try_from_secs_f64(request.budget).unwrap_or_default();
+            (Carried::Passed(RefCell::new(Some(Begun { first, rest, left, room })), patience), None)
+        }
+    };
+    let stake = match (settings.classes[request.class].effect, &body) {
+        (Effect::Unsafe, _) | (_, Carried::Passed(..)) => Stake::Whole,
+        (Effect::Safe | Effect::Keyed { .. }, _) => Stake::Wait,
     };
     let payload = Payload { method: head.method, uri: head.uri, headers: onward(head.headers), body, stake };
     Ok(Asked { request, txn, payload, room })
 }
 
-async fn whole(mut body: Incoming, length: usize) -> Result<Bytes, Unfit> {
-    let mut whole = BytesMut::with_capacity(length);
-    while let Some(frame) = body.frame().await {
+/// A body, or how it begins.
+enum Read {
+    Whole(Bytes),
+    Begun(Bytes, Incoming),
+}
+
+/// Reads a body that may be held; of a longer one as much, or nothing where its length is known.
+async fn whole(mut body: Incoming, length: Option<u64>) -> Result<Read, Unfit> {
+    if length.is_some_and(|length| length > MOST_BODY as u64) {
+        return Ok(Read::Begun(Bytes::new(), body));
+    }
+    let mut whole = BytesMut::with_capacity(length.map_or(0, |l| usize::try_from(l).unwrap_or(0)));
+    let begun = Instant::now();
+    loop {
+        let until = begun + BODY_WITHIN + Duration::from_secs(1) * whole.len() as u32 / SLOWEST;
+        let frame = tokio::time::timeout_at(until, body.frame()).await.map_err(|_| Unfit::Late)?;
+        let Some(frame) = frame else { return Ok(Read::Whole(whole.freeze())) };
         whole.extend_from_slice(&frame.map_err(|_| Unfit::Broken)?.into_data().unwrap_or_default());
+        if whole.len() > MOST_BODY {
+            return Ok(Read::Begun(whole.freeze(), body));
+        }
     }
-    Ok(whole.freeze())
 }
 
 /// The one value of a header; which of two is meant can't be known.
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -1,9 +1,11 @@
 //! The clients' side: the listener, requests and their answers, readiness and the graceful stop.
 
 use crate::backend::{Http, Served};
+use crate::body::{Answering, Given};
 use crate::clients::{self, Client, Clients, Place, Socket};
 use crate::config::WireSettings;
 use crate::limits::{Budget, Caps, MOST_HEAD};
+use crate::payload::Carried;
 use crate::request::{self, Asked, Dialect, Unfit};
 use bytes::Bytes;
 use dewpier_operate::calls::{self, Call};
@@ -13,7 +15,7 @@
 use gannetproxy::{RequestId, Settings, Time};
 use http_body_util::Full;
 use hyper::body::Incoming;
-use hyper::header::{CONNECTION, HeaderValue, RETRY_AFTER};
+use hyper::header::{CONNECTION, HeaderValue, RETRY_AFTER, TRANSFER_ENCODING};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Response, StatusCode};
@@ -33,7 +35,7 @@
 /// How long a connection without a request may take to end once it is to be closed.
 const CLOSE_WITHIN: Duration = Duration::from_millis(200);
 
-type Reply = Response<Full<Bytes>>;
+type Reply = Response<Answering>;
 
 /// Answers clients.
 pub struct Server {
@@ -73,7 +75,7 @@
 struct Unusable;
 
 fn plain(status: StatusCode, text: impl Into<Bytes>) -> Reply {
-    let mut reply = Response::new(Full::new(text.into()));
+    let mut reply = Response::new(Answering::Whole(Full::new(text.into())));
     if status.is_client_error() {
         reply.extensions_mut().insert(Unusable);
     }
@@ -81,9 +83,13 @@
     reply
 }
 
-/// What a backend worded.
+/// What a backend worded whole.
 fn passed_on(served: Served) -> Reply {
-    let mut reply = Response::new(Full::new(served.body));
+    let body = match served.body {
+        Given::Whole(body) => body,
+        Given::Passed(_) => return plain(StatusCode::BAD_GATEWAY, "failed\n"), // no error begins and goes on
+    };
+    let mut reply = Response::new(Answering::Whole(Full::new(body)));
     *reply.status_mut() = served.status;
     *reply.headers_mut() = served.headers;
     reply
@@ -168,7 +174,9 @@
         let mut idle = 0;
         while !self.clients.is_empty() && idle < IDLE_STEPS {
             self.clients.one_left(STEP).await;
-            idle = if self.engine.owes_answers() { 0 } else { idle + 1 };
+            let left = self.life.borrow().left(self.now()).is_none_or(|left| !left.is_zero());
+            let owes = self.engine.owes_answers() || (self.figures.pending() > 0 && left);
+            idle = if owes { 0 } else { idle + 1 };
         }
     }
 
@@ -276,13 +284,18 @@
             let (server, client) = (&self, place.client());
             let mut closing = server.closing.subscribe();
             let service = service_fn(|request| async move {
+                // Where it can't be seen that a coded request names no length as well, nothing is read behind it.
+                let coded = request.headers().contains_key(TRANSFER_ENCODING);
+                let unsure = coded && client.names_length().is_none();
                 let mut reply = server.reply(request, client, full).await;
-                client.answered();
+                if let Answering::Whole(_) = reply.body() {
+                    client.answered();
+                }
                 // What is wrong once is not given another try on the same connection: the rest of
                 // it may be anything, and each try has its price.
                 let wrong = reply.extensions().get::<Unusable>().is_some();
                 let goes = server.life.borrow().says_close(server.now());
-                if full || wrong || goes || *server.closing.borrow() {
+                if full || wrong || goes || unsure || *server.closing.borrow() {
                     reply.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
                 }
                 Ok::<_, Infallible>(reply)
@@ -306,23 +319,26 @@
         });
     }
 
-    async fn read(&self, request: hyper::Request<Incoming>, until: Instant) -> Result<Asked, Unfit> {
-        request::read(request, &self.settings, &self.wire, &self.dialect, &self.bodies, until).await
+    async fn read(&self, request: hyper::Request<Incoming>, length: Option<bool>) -> Result<Asked, Unfit> {
+        request::read(request, &self.settings, &self.wire, &self.dialect, &self.bodies, length).await
     }
 
-    async fn reply(&self, request: hyper::Request<Incoming>, client: &Client, full: bool) -> Reply {
+    async fn reply(&self, request: hyper::Request<Incoming>, client: &Rc<Client>, full: bool) -> Reply {
         if request.uri().path() == "/-/ready" {
             return match self.engine.listed() && self.life.borrow().ready() {
                 true => plain(StatusCode::OK, "ready\n"),
                 false => plain(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
             };
         }
-        let until = client.read_until();
-        let mut asked = match self.read(request, until).await {
+        client.head_read();
+        let mut asked = match self.read(request, client.names_length()).await {
             Ok(asked) => asked,
             Err(unfit) => return refusal(&unfit),
         };
         client.opened();
+        if let Carried::Passed(..) = asked.payload.body {
+            client.passes(true);
+        }
         let _room = asked.room;
         let taken = self.figures.take(asked.request.class);
         if full {
@@ -342,6 +358,15 @@
         if let Ok(Answer::Served(_)) = answer {
             self.life.borrow_mut().served(self.now(), asked.elapsed());
         }
+        let answer = match answer {
+            Ok(Answer::Served(Served { status, headers, body: Given::Passed(passed) })) => {
+                let mut reply = Response::new(Answering::passed(passed, taken, client.clone()));
+                *reply.status_mut() = status;
+                *reply.headers_mut() = headers;
+                return reply;
+            }
+            answer => answer,
+        };
         taken.end(match answer {
             Ok(Answer::Served(_)) => Ending::Completed,
             Ok(Answer::Refused(..)) => Ending::Rejected,
@@ -351,7 +376,10 @@
             // 503 says that trying again does no harm, whoever words it: a backend's own does not
             // go through where the request may have run.
             Ok(Answer::Failed(Some(served))) if served.status == StatusCode::SERVICE_UNAVAILABLE => {
-                plain(StatusCode::BAD_GATEWAY, served.body)
+                let mut reply = passed_on(served);
+                *reply.status_mut() = StatusCode::BAD_GATEWAY;
+                *reply.headers_mut() = Default::default();
+                reply
             }
             Ok(Answer::Served(served)) | Ok(Answer::Failed(Some(served))) => passed_on(served),
             Ok(Answer::Refused(wait, Some(served))) => {
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -5,6 +5,7 @@
 #![warn(missing_docs)]
 
 pub mod backend;
+pub mod bulk;
 pub mod faulty;
 pub mod load;
 pub mod message;
--- a/src/engine/affine.rs
+++ b/src/engine/affine.rs
@@ -28,8 +28,16 @@
         let left = budget - self.lag.get();
         let until = now + left - 0.5 * ANSWER_WAY;
         let payload = Rc::new(payload);
-        let open =
-            Open { txn: None, answer: sender, payload, until, attempts: 0, affine: true, fallback: None };
+        let open = Open {
+            txn: None,
+            answer: sender,
+            payload,
+            until,
+            attempts: 0,
+            affine: true,
+            kept: None,
+            fallback: None,
+        };
         state.open.insert(id, open);
         self.set_timer(&mut state, until, Due::Request(id));
         self.send(&mut state, id, backend, (left - ANSWER_WAY).max(0.001), now);
@@ -51,6 +59,6 @@
 /// Its client waits no longer.
 pub(super) fn late<U: Upstream>(state: &mut State<U>, id: RequestId) {
     let written = state.running.get(&(id, 0)).is_some_and(|running| running.written.get());
-    give_up(state, id);
+    give_up(state, id, 0);
     answer(state, id, |_| if written { Answer::Failed(None) } else { Answer::Refused(None, None) });
 }
--- a/src/engine/budget.rs
+++ b/src/engine/budget.rs
@@ -4,12 +4,14 @@
 use std::rc::Rc;
 
 /// So much of something may be in use, all together.
+#[derive(Debug)]
 pub struct Budget {
     used: Cell<usize>,
     most: Cell<usize>,
 }
 
 /// A part of a budget, given back when it is dropped.
+#[derive(Debug)]
 pub struct Permit {
     budget: Rc<Budget>,
     part: usize,
--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -13,7 +13,7 @@
 pub use budget::{Budget, Permit};
 pub use clock::Clock;
 pub use list::{Ask, Listed, News};
-pub use upstream::{Attempt, Begin, Done, Gate, Lease, Upstream};
+pub use upstream::{Attempt, Begin, Done, Gate, Keep, Lease, Upstream};
 
 use crate::{
     Action, BackendId, Balancer, Ended, Entry, Event, ListUpdate, Outcome, Report, Request, RequestId,
@@ -97,6 +97,8 @@
     attempts: usize,
     /// One backend alone can do it: the module does not know of it.
     affine: bool,
+    /// This attempt is its only one, and sets its own time limit.
+    kept: Option<usize>,
     /// The last error that a backend worded.
     fallback: Option<U::Reply>,
 }
@@ -108,8 +110,10 @@
     task: AbortHandle,
     /// As its request is.
     affine: bool,
-    /// Its answer has begun, and is with the client.
+    /// Its answer has begun, and is with the client, or what it sends can't be sent again.
     streams: bool,
+    /// The latter: what comes of it is the request's answer.
+    kept: bool,
 }
 
 /// What was seen of a backend since that was asked last.
@@ -296,7 +300,8 @@
         let until = now + request.budget - 0.5 * ANSWER_WAY;
         request.budget -= ANSWER_WAY;
         let payload = Rc::new(payload);
-        let open = Open { txn, answer, payload, until, attempts: 0, affine: false, fallback: None };
+        let open =
+            Open { txn, answer, payload, until, attempts: 0, affine: false, kept: None, fallback: None };
         state.open.insert(request.id, open);
         self.set_timer(&mut state, until, Due::Request(request.id));
         let id = request.id;
@@ -317,7 +322,24 @@
         let mut state = self.state.borrow_mut();
         let Some(open) = close(&mut state, id) else { return };
         if open.affine {
-            return give_up(&mut state, id);
+            return give_up(&mut state, id, 0);
+        }
+        if let Some(attempt) = open.kept {
+            let backend = state.running.get(&(id, attempt)).map(|running| running.backend);
+            give_up(&mut state, id, attempt);
+            if let Some(backend) = backend {
+                let ended = Ended {
+                    id,
+                    backend,
+                    attempt,
+                    outcome: Outcome::Cancelled,
+                    took: 0.0,
+                    over: true,
+                    report: None,
+                };
+                state.told.push_back(Told::Event(Event::Outcome(ended)));
+            }
+            return self.decide(state);
         }
         if !unheld(&mut state, id) {
             state.told.push_back(Told::Event(Event::ClientLeft(id)));
@@ -401,7 +423,9 @@
         if running.affine {
             return affine::end(state, id, done.outcome, done.fallback);
         }
-        if let (Some(fallback), Some(open)) = (done.fallback, state.open.get_mut(&id)) {
+        if running.kept {
+            affine::end(state, id, done.outcome, done.fallback);
+        } else if let (Some(fallback), Some(open)) = (done.fallback, state.open.get_mut(&id)) {
             open.fallback = Some(fallback);
         }
         state.told.push_back(Told::Event(Event::Outcome(Ended {
@@ -509,8 +533,8 @@
         let until = if timeout == 0.0 { open.until } else { (now + timeout).min(open.until) };
         let written = Rc::new(Cell::new(false));
         let affine = open.affine;
-        let begin = self.begins(id, attempt);
-        let made = Attempt { gate, backend, clock: self.clock, until, written: written.clone(), begin };
+        let (begin, keep) = (self.begins(id, attempt), self.keeps(id, attempt));
+        let made = Attempt { gate, backend, clock: self.clock, until, written: written.clone(), begin, keep };
         let attempted = self.upstream.attempt(endpoint, open.payload.clone(), made);
         let task = tokio::task::spawn_local(async move {
             let done = attempted.await;
@@ -521,9 +545,10 @@
             counts.in_flight += 1;
             counts.sent += 1;
         }
-        state
-            .running
-            .insert((id, attempt), Running { backend, sent: now, written, task, affine, streams: false });
+        state.running.insert(
+            (id, attempt),
+            Running { backend, sent: now, written, task, affine, streams: false, kept: false },
+        );
         self.set_timer(state, until, Due::Attempt(id, attempt));
     }
 
@@ -537,6 +562,7 @@
                 until: Time::INFINITY,
                 written,
                 begin: Begin::default(),
+                keep: Keep::default(),
             };
             let probed = self.upstream.probe(known.endpoint.clone(), made);
             tokio::task::spawn_local(async move {
@@ -609,6 +635,8 @@
                     answer(&mut state, id, |fallback| Answer::Refused(None, fallback));
                 }
                 Due::Held => self.release(&mut state, now),
+                // Its time counts from the last byte that its client sends; its attempt keeps to that.
+                Due::Request(id) if state.open.get(&id).is_some_and(|open| open.kept.is_some()) => {}
                 Due::Request(id) => {
                     if state.open.get(&id).is_some_and(|open| open.affine) {
                         affine::late(&mut state, id);
@@ -652,8 +680,8 @@
 }
 
 /// Ends the attempt of a request that the module does not know of.
-fn give_up<U: Upstream>(state: &mut State<U>, id: RequestId) {
-    if let Some(running) = state.running.remove(&(id, 0)) {
+fn give_up<U: Upstream>(state: &mut State<U>, id: RequestId, attempt: usize) {
+    if let Some(running) = state.running.remove(&(id, attempt)) {
         running.task.abort();
         if let Some(known) = state.endpoints.get_mut(&running.backend) {
             known.counts.in_flight = known.counts.in_flight.saturating_sub(1);
--- a/src/engine/streamed.rs
+++ b/src/engine/streamed.rs
@@ -1,6 +1,6 @@
 //! Answers that have begun and go on: the client has its answer from the first part on.
 
-use super::{Answer, Begin, Engine, Told, Upstream, close};
+use super::{Answer, Begin, Engine, Keep, Told, Upstream, close};
 use crate::{Event, RequestId};
 use std::rc::Rc;
 
@@ -13,6 +13,30 @@
         })))
     }
 
+    /// What an attempt is given to become its request's only one.
+    pub(super) fn keeps(&self, id: RequestId, attempt: usize) -> Keep {
+        let engine = self.this.clone();
+        Keep(Some(Rc::new(move || engine.upgrade().is_some_and(|engine| engine.kept(id, attempt)))))
+    }
+
+    /// The module has done what it can for it: it would wait at its timers for what can't come before the client
+    /// has sent everything, and take a slow client for a slow backend.
+    fn kept(&self, id: RequestId, attempt: usize) -> bool {
+        let mut state = self.state.borrow_mut();
+        let super::State { open, running, .. } = &mut *state;
+        let (Some(open), Some(running)) = (open.get_mut(&id), running.get_mut(&(id, attempt))) else {
+            return false;
+        };
+        open.kept = Some(attempt);
+        running.streams = true;
+        running.kept = true;
+        if !open.affine {
+            state.told.push_back(Told::Event(Event::Started { id, attempt }));
+            self.decide(state);
+        }
+        true
+    }
+
     fn begun(&self, id: RequestId, attempt: usize, reply: U::Reply) -> bool {
         let mut state = self.state.borrow_mut();
         if !state.running.contains_key(&(id, attempt)) {
@@ -23,7 +47,7 @@
             running.streams = true;
         }
         let _ = open.answer.send(Answer::Served(reply)); // where it has left, what comes finds nobody
-        if !open.affine {
+        if !open.affine && open.kept.is_none() {
             state.told.push_back(Told::Event(Event::Started { id, attempt }));
             self.decide(state);
         }
--- a/src/engine/upstream.rs
+++ b/src/engine/upstream.rs
@@ -103,6 +103,26 @@
     pub written: Rc<Cell<bool>>,
     /// How it hands on an answer that has begun and goes on.
     pub begin: Begin<R>,
+    /// How it makes itself the request's only attempt, where what it sends can't be sent again.
+    pub keep: Keep,
+}
+
+/// Makes an attempt the only one that its request has, from here on: what comes of it is the request's answer. The
+/// engine sets no time limit any more; the attempt does.
+#[derive(Clone, Default)]
+pub struct Keep(pub(super) Option<Rc<dyn Fn() -> bool>>);
+
+impl Keep {
+    /// Does so. False where the request has had its answer, or its client has left: the attempt is to end.
+    pub fn only(&self) -> bool {
+        self.0.as_ref().is_some_and(|keep| keep())
+    }
+}
+
+impl std::fmt::Debug for Keep {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("Keep")
+    }
 }
 
 /// Takes an answer that has begun: it is the request's one answer from there on, no other attempt is made or
