--- a/crates/http/src/payload.rs
+++ b/crates/http/src/payload.rs
@@ -5,7 +5,8 @@
 use dewpier_reuse::Stake;
 use gannetproxy::Time;
 use http_body_util::Full;
-use hyper::header::{HeaderMap, HeaderValue};
+use hyper::body::Body;
+use hyper::header::{HeaderMap, HeaderValue, TRANSFER_ENCODING};
 use hyper::{Method, Uri};
 use std::cell::RefCell;
 use std::time::Duration;
@@ -58,6 +59,10 @@
         *request.method_mut() = self.method.clone();
         *request.uri_mut() = self.uri.clone();
         *request.headers_mut() = self.headers.clone();
+        if request.body().size_hint().exact().is_none() {
+            // Said outright, as hyper takes a GET of unknown length for one without a body.
+            request.headers_mut().insert(TRANSFER_ENCODING, HeaderValue::from_static("chunked"));
+        }
         let wait = HeaderValue::from((wait.max(0.0) * 1000.0) as u64);
         request.headers_mut().insert("x-remaining-ms", wait);
         request
