A process that takes over asks for news of the list at once, as what is told binds both

Cause: by a trace of calls and sends, the new process of n1 began at 7.28 s and first asked at 10.72 s, as the module spreads the first calls of proxies that start together over a part of ask-within; the old one was told of a drain at 8.57 s, and the new one sent there at 9.38 s. Ruled out: the old one (it sent nothing there after 8.57 s). Change: one that takes over begins its watch by itself. The test fails without it.

--- a/crates/dewpier/src/platform.rs
+++ b/crates/dewpier/src/platform.rs
@@ -59,6 +59,11 @@
     let engine = Engine::start(config.settings.clone(), config.wire.bounds(), config.seed, upstream);
     let discovery =
         Discovery::start(config.discovery, config.known, &config.wire, &config.settings, engine.clone());
+    if before.runs() {
+        // What discovery tells is told to both. The module spreads the first calls of proxies that start together;
+        // one that takes over starts alone, and would go by an old list meanwhile.
+        discovery.watch(true);
+    }
     let reloading = async move {
         while reload.recv().await.is_some() {
             // What can't be used changes nothing.
--- a/crates/dewpier/tests/upgrade.rs
+++ b/crates/dewpier/tests/upgrade.rs
@@ -263,3 +263,22 @@
         ended_well(new);
     }
 }
+
+#[test]
+fn one_that_takes_over_asks_for_news_at_once() {
+    let backends = [backend(), backend()];
+    let (channel, _ended) = std::sync::mpsc::channel();
+    let lists = Played::new(move |_, _| Play::Silence(channel.clone()));
+    // Those that start together would take their time.
+    let mut config = config(&[&backends[0], &backends[1]]);
+    config["settings"]["registry-mode"] = json!("subscribe");
+    config["settings"]["rules"]["ask-within"] = json!(600.0);
+    let folder = folder("asks");
+    let old = Proxy::at("127.0.0.1:0", &config, lists.address, &folder).unwrap();
+    wait_for("a yes", || takes(&old));
+    let before = lists.count();
+    let new = Proxy::at(&old.address.to_string(), &config, lists.address, &folder).unwrap();
+    wait_for("a yes of the new one", || takes(&new));
+    wait_for("a call for news", || lists.count() > before);
+    assert!(before <= 1 && old.address == new.address);
+}
