dewpier serve takes operators' calls, dewpier operate makes them; a list that stalls is asked for again

Cause: a list that began to come and stalled held the next call back until the whole wait for news was over. Change: what has begun must come whole within a second. operator in our own configuration, on loopback alone; dewpier operate CALL --at ADDRESS, with exit codes 0, 1 and 2.

--- a/crates/dewpier/src/command.rs
+++ b/crates/dewpier/src/command.rs
@@ -7,9 +7,11 @@
 use dewpier_inventory::io::{confirm, read_file};
 use dewpier_inventory::{Encoding, Format, Inventory, Options};
 use serde::Serialize;
-use std::io::{BufRead, Read};
+use std::io::{self, BufRead, Read, Write};
+use std::net::{SocketAddr, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
+use std::time::Duration;
 
 /// A file that can't be used.
 const BAD_INPUT: u8 = 2;
@@ -35,6 +37,15 @@
     Forwarder(WithConfig),
     /// Check a configuration and the inventory that it names
     Check(WithConfig),
+    /// Ask a running proxy, or have it emptied: exit 0 where it says yes, 1 where it says no, 2 where nothing comes
+    Operate {
+        /// What to ask
+        #[arg(value_parser = ["check", "vars", "drain-on", "drain-off"])]
+        call: String,
+        /// Where it is asked: `operator` in its configuration
+        #[arg(long, value_name = "ADDRESS")]
+        at: SocketAddr,
+    },
     /// Look at what forwarders go by
     #[command(subcommand)]
     Plan(OfPlan),
@@ -106,6 +117,38 @@
     },
 }
 
+/// An answer is due within 1 s; a machine that is very busy is given more.
+const ANSWERED_WITHIN: Duration = Duration::from_secs(5);
+/// The longest answer that is read, in bytes.
+const MOST_TOLD: u64 = 1 << 20;
+
+/// Makes an operator's call.
+fn operate(call: &str, at: SocketAddr) -> ExitCode {
+    let asked = || -> io::Result<String> {
+        let mut stream = TcpStream::connect_timeout(&at, ANSWERED_WITHIN)?;
+        stream.set_read_timeout(Some(ANSWERED_WITHIN))?;
+        stream.set_write_timeout(Some(ANSWERED_WITHIN))?;
+        stream.write_all(format!("{call}\n").as_bytes())?;
+        let mut told = String::new();
+        stream.take(MOST_TOLD).read_to_string(&mut told)?;
+        Ok(told)
+    };
+    match asked() {
+        Ok(told) if told.ends_with('\n') => {
+            print!("{told}");
+            if told.starts_with("NO") { ExitCode::FAILURE } else { ExitCode::SUCCESS }
+        }
+        Ok(told) => {
+            eprintln!("dewpier: {at}: expected a line, got '{}'", told.escape_debug());
+            ExitCode::from(BAD_INPUT)
+        }
+        Err(error) => {
+            eprintln!("dewpier: {at}: {error}");
+            ExitCode::from(BAD_INPUT)
+        }
+    }
+}
+
 /// Does what the command line says.
 pub fn run() -> ExitCode {
     let arguments = match Arguments::try_parse() {
@@ -117,6 +160,7 @@
         Command::Forwarder(WithConfig { config }) => serve(&config, true),
         Command::Planner(WithConfig { config }) => plan(&config),
         Command::Check(WithConfig { config }) => check(&config),
+        Command::Operate { call, at } => operate(&call, at),
         Command::Plan(OfPlan::Show { config, json }) => show(&config, json),
         Command::Inventory(OfInventory::Check { file, format, encoding, group, default_port, json }) => {
             let options = Options { format, encoding, group, default_port, ..Options::default() };
--- a/crates/dewpier/src/config/mod.rs
+++ b/crates/dewpier/src/config/mod.rs
@@ -36,6 +36,8 @@
 pub struct Config {
     /// Where clients connect.
     pub listen: SocketAddr,
+    /// Where operators call, if anywhere: on this machine alone, as whoever can connect may empty the proxy.
+    pub operator: Option<SocketAddr>,
     /// File descriptors that the process may hold.
     pub descriptors: usize,
     /// Bytes of memory that it plans with.
@@ -65,6 +67,7 @@
 #[serde(deny_unknown_fields)]
 struct File {
     listen: Spanned<String>,
+    operator: Option<Spanned<String>>,
     #[serde(default)]
     zone: String,
     inventory: Option<RawInventory>,
@@ -123,6 +126,10 @@
 
     fn check(file: File, path: &Path) -> Result<Self, Wrong> {
         let listen = address(&file.listen, "listen")?;
+        let operator = file.operator.as_ref().map(|raw| address(raw, "operator")).transpose()?;
+        if let (Some(address), Some(raw)) = (operator.filter(|a| !a.ip().is_loopback()), &file.operator) {
+            return wrong(raw.span(), "operator", "an address on the loopback interface", address);
+        }
         let (limits, backends) = (&file.limits, &file.backends);
         let Classes { classes, names, routes } = classes(&file.class)?;
         let source = match (&file.inventory, &file.planners) {
@@ -171,6 +178,7 @@
         let memory = whole(&limits.memory_mb, "memory_mb", [16, 1 << 20], 192)? as usize;
         Ok(Self {
             listen,
+            operator,
             descriptors: whole(&limits.descriptors, "descriptors", [64, 1 << 20], 1024)? as usize,
             memory: memory << 20,
             source,
--- a/crates/dewpier/src/config/tests.rs
+++ b/crates/dewpier/src/config/tests.rs
@@ -65,6 +65,11 @@
     for (text, place, words) in [
         ("listen = \"here\"\n[inventory]\nfile = \"a\"\n", "1:10", "address:port, found 'here'"),
         ("[inventory]\nfile = \"a\"\n", "1:1", "listen"),
+        (
+            "listen = \"127.0.0.1:0\"\noperator = \"0.0.0.0:1\"\n[inventory]\nfile = \"a\"\n",
+            "2:12",
+            "loopback",
+        ),
         ("listen = \"127.0.0.1:0\"\n", "1:1", "[inventory] or [planners], found neither"),
         (
             "listen = \"127.0.0.1:0\"\n[planners]\nname = \"f\"\naddresses = [\"10.0.0.1:1\"]\nplaintext = true\n",
--- a/crates/dewpier/src/run.rs
+++ b/crates/dewpier/src/run.rs
@@ -11,8 +11,10 @@
 use dewpier_http::request::Dialect;
 use dewpier_http::server::{self, Server};
 use dewpier_operate::figures::Figures;
+use dewpier_operate::io as operators;
 use gannetproxy::engine::Engine;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{Notify, watch};
 
@@ -43,7 +45,7 @@
     reload: &Notify,
     stop: impl Future<Output = ()>,
 ) -> Result<(), ServeError> {
-    let Config { listen, descriptors, memory, source, settings, wire, routes, mysql } = config;
+    let Config { listen, operator, descriptors, memory, source, settings, wire, routes, mysql } = config;
     let lists = match source {
         ListFrom::Inventory(inventory) => Lists::of_inventory(inventory)?,
         ListFrom::Planners(planners) => Lists::of_planners(*planners)?,
@@ -63,6 +65,10 @@
     };
     let listener = server::bind(listen)?;
     let address = listener.local_addr()?;
+    let operators = operator.map(server::bind).transpose()?;
+    if let Some(operators) = &operators {
+        eprintln!("dewpier: operators call at {}", operators.local_addr()?);
+    }
     let engine = Engine::leased(settings.clone(), wire.bounds(), seed(), upstream, feed.lease());
     feed.begin(&engine);
     let mysql = match mysql {
@@ -71,6 +77,13 @@
     };
     ready(address);
     let server = Server::new(engine.clone(), settings, wire, Dialect::Plain(routes), caps, figures);
+    let asked = server.clone();
+    let operating = async move {
+        match operators {
+            Some(listener) => operators::serve(listener, Rc::new(move |call| asked.operate(call))).await,
+            None => std::future::pending().await,
+        }
+    };
     let (stopping, stopped) = watch::channel(false);
     let told = || {
         let mut stopped = stopped.clone();
@@ -106,6 +119,7 @@
         _ = serving => {}
         () = feed.run(engine, &listed) => {}
         () = signals => {}
+        () = operating => {}
     }
     Ok(())
 }
--- a/crates/dewpier/tests/operate.rs
+++ b/crates/dewpier/tests/operate.rs
@@ -185,3 +185,39 @@
     drop(leaves);
     wait_for("its end", || proxy.figure("pending") == 0);
 }
+
+#[test]
+fn the_program_asks_one_that_serves_an_inventory() {
+    let folder = std::env::temp_dir().join(format!("dw-operate-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).unwrap();
+    let backend = Played::good("a");
+    std::fs::write(folder.join("nodes.csv"), format!("id,address\na,{}\n", backend.address)).unwrap();
+    let config = folder.join("dewpier.toml");
+    let text = "listen = \"127.0.0.1:0\"\noperator = \"127.0.0.1:0\"\n[inventory]\nfile = \"nodes.csv\"\n";
+    std::fs::write(&config, text).unwrap();
+    let program = || std::process::Command::new(env!("CARGO_BIN_EXE_dewpier"));
+    let mut serves = program();
+    serves.arg("serve").arg("--config").arg(&config).stderr(std::process::Stdio::piped());
+    let mut child = serves.spawn().unwrap();
+    let mut log = std::io::BufReader::new(child.stderr.take().unwrap());
+    let mut at = String::new();
+    while !at.contains("operators call at ") {
+        at.clear();
+        assert!(std::io::BufRead::read_line(&mut log, &mut at).unwrap() > 0, "it ended");
+    }
+    let at = at.trim().rsplit(' ').next().unwrap().to_string();
+    let call = |call: &str, at: &str| {
+        let done = program().args(["operate", call, "--at", at]).output().unwrap();
+        (done.status.code(), String::from_utf8(done.stdout).unwrap())
+    };
+    wait_for("a yes", || call("check", &at).0 == Some(0));
+    assert_eq!(call("drain-on", &at).0, Some(0));
+    let (code, told) = call("check", &at);
+    assert!(code == Some(1) && told.starts_with("NO"), "{told}");
+    assert_eq!(call("drain-off", &at).0, Some(0));
+    let (code, told) = call("vars", &at);
+    assert!(code == Some(0) && told.contains("edge_relay.members=1\n"), "{told}");
+    assert_eq!(call("check", "127.0.0.1:1").0, Some(2));
+    child.kill().unwrap();
+    child.wait().unwrap();
+}
--- a/crates/dewpier/tests/proxy.rs
+++ b/crates/dewpier/tests/proxy.rs
@@ -285,3 +285,22 @@
     assert!(discovery.requests.lock().unwrap()[3].first.contains("since=7&timeout_ms=1000"));
     assert_eq!(proxy.ask(&request("look", 20_000)).body, b"new");
 }
+
+#[test]
+fn a_list_that_stalls_half_way_is_asked_for_again_long_before_its_wait_is_over() {
+    let (old, new) = (Played::good("old"), Played::good("new"));
+    let news = list(2, false, &[entry("s-0", old.address, "DELETED"), entry("s-1", new.address, "SERVING")]);
+    let whole = answer("200 OK", &news.to_string());
+    let discovery = Played::new(move |before, _| match before {
+        0 => Play::AnswerThen(whole[..whole.len() / 2].to_string(), 4 * LONG, String::new()),
+        1 => Play::Answer(whole.clone()),
+        _ => Play::Silence(channel().0),
+    });
+    let mut settings = settings();
+    settings["registry-mode"] = json!("subscribe");
+    // A call may wait for so long, far longer than this test does; what failed is asked again after a tenth.
+    settings["rules"]["ask-within"] = json!(40.0);
+    let proxy = Proxy::start(&settings, &known(&[&old]), discovery.address);
+    wait_for("the new list", || proxy.ask(&request("look", 20_000)).body == b"new");
+    assert!(discovery.count() >= 2);
+}
--- a/crates/http/src/discovery.rs
+++ b/crates/http/src/discovery.rs
@@ -25,6 +25,9 @@
 /// the next calls must have been answered by then, also where one or two of them fall silent as well.
 const PUSHED_WATCH: Duration = Duration::from_secs(2);
 const PUSHED_PATIENCE: Duration = Duration::from_millis(500);
+/// A list that has begun to come must have come whole within this: one that stalls must not keep the next call
+/// from being made until the wait for news is over.
+const COMES_WITHIN: Duration = Duration::from_secs(1);
 /// Bounds of the wait after a call that failed, where the module doesn't say when to ask again.
 const BACKOFF: [Duration; 2] = [Duration::from_millis(50), Duration::from_millis(400)];
 /// Largest list taken in.
@@ -202,7 +205,9 @@
             };
             let answer = peer.send(request).await.ok_or(CallError::Broken)?.map_err(|e| e.into_error())?;
             let (status, body) = (answer.status(), Limited::new(answer.into_body(), MOST_BYTES));
-            let body = peer.drive(body.collect()).await.ok_or(CallError::Broken)?.map_err(CallError::Body)?;
+            let body = tokio::time::timeout(COMES_WITHIN, peer.drive(body.collect())).await;
+            let body =
+                body.map_err(|_| CallError::Late)?.ok_or(CallError::Broken)?.map_err(CallError::Body)?;
             if !status.is_success() {
                 return Err(CallError::Status(status.as_u16()));
             }
