Found in review: a closed listener stays closed, one attempt alone has a body that goes once

Four faults by reading the whole change, each with a test. A copy of the listening socket, kept to be given away, went on taking connections while the last answers were given, and they were reset at the end: it is held weakly now. A new process that waited for a list did not heed SIGTERM, and nobody answered where the old one ended meanwhile. Of two attempts at one long body the later one could go out with an empty body. Slow uploads could keep short requests out: long bodies have a room of their own. Log lines of the handover are events of tracing.

--- a/crates/dewpier/src/beside.rs
+++ b/crates/dewpier/src/beside.rs
@@ -2,12 +2,12 @@
 //! the next one.
 
 use dewpier_handover::giver::Do;
-use dewpier_handover::io::{self as handover, Found, Given};
+use dewpier_handover::io::{self as handover, Found};
 use dewpier_http::server::{self, Server};
 use std::io;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::sync::Notify;
@@ -31,7 +31,7 @@
     /// There was none.
     None,
     /// It gave its socket.
-    Given(Given),
+    Given(handover::Before),
     /// It is there, and did not.
     Hidden,
     /// The same, and it goes on being asked by others.
@@ -51,18 +51,24 @@
 
     /// Tells it that this process accepts now.
     pub async fn taking(&mut self) {
-        if let Self::Given(given) = self
-            && let Err(error) = given.taking().await
+        if let Self::Given(before) = self
+            && let Err(error) = before.taking().await
         {
-            eprintln!("dewpier: the process before is gone: {error}");
+            tracing::warn!(%error, "the process before is gone");
         }
     }
 
+    /// What comes is its own as long as this process knows no backend. One that listens beside has a queue of its own,
+    /// and must look after that.
+    pub fn shares_queue(&self) -> bool {
+        matches!(self, Self::Given(_))
+    }
+
     /// Waits until it has ended, as far as can be told.
     pub async fn ended(&mut self) {
         match self {
             Self::None => {}
-            Self::Given(given) => given.ended().await,
+            Self::Given(before) => before.ended().await,
             Self::Hidden | Self::Asked => tokio::time::sleep(THERE_FOR).await,
         }
     }
@@ -75,17 +81,16 @@
         None => Found::Nobody,
     };
     let before = match found {
-        Found::Given(given) if given.listener.local_addr()? == address => {
-            let listener = TcpListener::from_std(given.listener.try_clone()?)?;
-            return Ok((listener, Before::Given(given)));
+        Found::Given(listener, before) if listener.local_addr()? == address => {
+            return Ok((TcpListener::from_std(listener)?, Before::Given(before)));
         }
-        Found::Given(_) | Found::Nobody => Before::None,
+        Found::Given(..) | Found::Nobody => Before::None,
         Found::Busy => {
-            eprintln!("dewpier: the process before gives its socket to another one: listening beside");
+            tracing::warn!("the process before gives its socket to another one: listening beside");
             Before::Asked
         }
         Found::Kept(why) => {
-            eprintln!("dewpier: the process before gives no socket: {why}");
+            tracing::warn!(why, "the process before gives no socket: listening beside");
             Before::Hidden
         }
     };
@@ -100,24 +105,18 @@
     }
 }
 
-/// Another handle of the same socket, to give away.
-pub fn copy(listener: &TcpListener) -> io::Result<std::os::fd::OwnedFd> {
-    std::os::fd::AsFd::as_fd(listener).try_clone_to_owned()
-}
-
 /// Gives the socket to newer processes. Where that can't be, this says so once, and they bind for themselves.
-pub async fn give(place: Option<&Path>, socket: io::Result<std::os::fd::OwnedFd>, server: Rc<Server>) {
+pub async fn give(place: Option<&Path>, listener: Weak<TcpListener>, server: Rc<Server>) {
     let Some(place) = place else { return };
     let again = Rc::new(Notify::new());
     loop {
-        let copy = socket.as_ref().map_err(|error| io::Error::from(error.kind())).and_then(|s| s.try_clone());
-        let (door, copy) = match copy.and_then(|copy| Ok((handover::listen(place)?, copy))) {
-            Ok(ready) => ready,
-            Err(error) => return eprintln!("dewpier: no handover at {}: {error}", place.display()),
+        let door = match handover::listen(place) {
+            Ok(door) => door,
+            Err(error) => return tracing::warn!(place = %place.display(), %error, "no handover"),
         };
         // A process that took over and is gone has left the place to nobody.
         tokio::select! {
-            () = handover::attend(door, copy, act(server.clone(), again.clone())) => {}
+            () = handover::attend(door, listener.clone(), act(server.clone(), again.clone())) => {}
             () = again.notified() => {}
         }
     }
@@ -128,11 +127,11 @@
     move |done| match done {
         Do::Beside(beside) => server.beside(beside),
         Do::HandOver => {
-            eprintln!("dewpier: a new process takes the address over");
+            tracing::info!("a new process takes the address over");
             server.hand_over();
         }
         Do::TakeBack => {
-            eprintln!("dewpier: the new process is gone: taking clients again");
+            tracing::warn!("the new process is gone: taking clients again");
             server.take_back();
             again.notify_one();
         }
--- a/crates/dewpier/src/platform.rs
+++ b/crates/dewpier/src/platform.rs
@@ -40,7 +40,8 @@
     let (listener, mut before) = beside::listener(config.listen, place.as_deref()).await?;
     let address = listener.local_addr()?;
     eprintln!("dewpier: listening on {address}");
-    let copy = beside::copy(&listener);
+    let listener = Rc::new(listener);
+    let given = Rc::downgrade(&listener);
     let operators = config.operator.map(server::bind).transpose()?;
     if let Some(operators) = &operators {
         eprintln!("dewpier: operators call at {}", operators.local_addr()?);
@@ -86,8 +87,17 @@
     server.beside(before.runs());
     let (joins, joined) = (server.clone(), Notify::new());
     let serving = async {
-        while before.runs() && !joins.listed() {
-            tokio::time::sleep(LOOK).await;
+        if before.shares_queue() {
+            let listed = async {
+                while !joins.listed() {
+                    tokio::time::sleep(LOOK).await;
+                }
+            };
+            tokio::select! {
+                () = listed => {}
+                () = before.ended() => {} // nobody else looks after what comes
+                _ = stop.recv() => return, // nothing was taken
+            }
         }
         before.taking().await;
         if before.yields() {
@@ -107,7 +117,7 @@
     let (gives, place) = (joins.clone(), beside::place(address));
     let giving = async {
         joined.notified().await;
-        beside::give(place.as_deref(), copy, gives).await;
+        beside::give(place.as_deref(), given, gives).await;
         std::future::pending::<()>().await;
     };
     tokio::select! {
--- a/crates/dewpier/src/run.rs
+++ b/crates/dewpier/src/run.rs
@@ -98,7 +98,7 @@
                 mysql.run(&also_listed, told()).await;
             }
         };
-        tokio::join!(server.run(listener, told()), other)
+        tokio::join!(server.run(Rc::new(listener), told()), other)
     };
     let signals = async {
         let reloading = async {
--- a/crates/dewpier/tests/streams.rs
+++ b/crates/dewpier/tests/streams.rs
@@ -6,10 +6,14 @@
 use dewpier_standins::bulk::{self, Bulk, Came, Framing};
 use dewpier_standins::message::read_head;
 use dewpier_standins::rng::Rng;
+use gannetproxy::engine::{Answer, Attempt, Bounds, Done, Engine, Listed, News, Upstream};
+use gannetproxy::{BackendId, Class, Effect, Entry, Outcome, Request, Settings};
 use serde_json::json;
 use sockets::*;
+use std::cell::RefCell;
 use std::io::{BufReader, Write};
 use std::net::TcpStream;
+use std::rc::Rc;
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
@@ -32,6 +36,14 @@
     proxy
 }
 
+/// How long streams are, in bytes, and who they go through.
+fn streaming() -> (usize, Bulk, Proxy) {
+    let mb = std::env::var("STREAM_MB").ok().and_then(|mb| mb.parse().ok()).unwrap_or(STREAM_MB);
+    let bulk = Bulk::start();
+    let proxy = proxy(&bulk);
+    (mb * MB, bulk, proxy)
+}
+
 /// A request's head, its framing and its end left off.
 fn head(class: &str, query: &str) -> String {
     let request = request(class, 20_000).replace("?q=1", &format!("?{query}"));
@@ -54,9 +66,7 @@
 
 #[test]
 fn long_answers_pass_by_the_hundred_in_little_memory() {
-    let size = std::env::var("STREAM_MB").ok().and_then(|mb| mb.parse().ok()).unwrap_or(STREAM_MB) * MB;
-    let bulk = Bulk::start();
-    let proxy = proxy(&bulk);
+    let (size, _bulk, proxy) = streaming();
     std::thread::scope(|scope| {
         for n in 0..STREAMS {
             let (proxy, framing) = (&proxy, ["length", "chunked", "close"][n % 3]);
@@ -79,9 +89,7 @@
 
 #[test]
 fn long_bodies_pass_by_the_hundred_in_little_memory() {
-    let size = std::env::var("STREAM_MB").ok().and_then(|mb| mb.parse().ok()).unwrap_or(STREAM_MB) * MB;
-    let bulk = Bulk::start();
-    let proxy = proxy(&bulk);
+    let (size, bulk, proxy) = streaming();
     std::thread::scope(|scope| {
         for n in 0..STREAMS {
             let (proxy, framing) = (&proxy, [Framing::Length, Framing::Chunked][n % 2]);
@@ -239,3 +247,103 @@
         reads.join().unwrap();
     });
 }
+
+#[test]
+fn long_bodies_that_do_not_come_keep_no_short_one_out() {
+    let bulk = Bulk::start();
+    let proxy = proxy(&bulk);
+    // Twice as many as there is room for.
+    let mut stay = Vec::new();
+    let mut refused = 0;
+    for _ in 0..200 {
+        let mut stream = proxy.connect();
+        let text = format!("{}Content-Length: {MB}\r\n\r\n", head("order", "size=5"));
+        stream.get_mut().write_all(text.as_bytes()).unwrap();
+        // Who is refused is told at once; the others are asked for nothing.
+        stream.get_mut().set_read_timeout(Some(Duration::from_millis(20))).unwrap();
+        refused += usize::from(read(&mut stream).is_some_and(|answer| answer.status() == 503));
+        stay.push(stream);
+    }
+    assert!(refused > 0, "there is room for all of them");
+    assert_eq!(proxy.ask(&request("save", 9000)).status(), 200);
+}
+
+/// An upstream whose attempts wait, then want to be the only one.
+struct Waits(Rc<RefCell<Vec<bool>>>);
+
+impl Upstream for Waits {
+    type Payload = ();
+    type Reply = ();
+    type Endpoint = ();
+
+    fn endpoint(&self, _: std::net::SocketAddr) {}
+    fn moved(&self, _: &(), _: std::net::SocketAddr) {}
+    fn release(&self, _: &()) {}
+    fn sweep(&self, _: &()) {}
+    fn full(&self) -> bool {
+        false
+    }
+    fn idle_since(&self, _: &()) -> Option<tokio::time::Instant> {
+        None
+    }
+    fn evict(&self, _: &()) {}
+
+    fn attempt(
+        &self,
+        _: Rc<()>,
+        _: Rc<()>,
+        attempt: Attempt<()>,
+    ) -> impl Future<Output = Done<()>> + 'static {
+        let seen = self.0.clone();
+        async move {
+            // Until another attempt is out too.
+            let out = seen.clone();
+            out.borrow_mut().push(false);
+            while out.borrow().len() < 2 {
+                tokio::time::sleep(Duration::from_millis(5)).await;
+            }
+            let only = attempt.keep.only();
+            seen.borrow_mut().push(only);
+            tokio::time::sleep(Duration::from_millis(50)).await;
+            match only {
+                true => Done { served: Some(()), ..Done::without_answer(Outcome::Served) },
+                false => Done::without_answer(Outcome::NeverSent),
+            }
+        }
+    }
+
+    fn probe(&self, _: Rc<()>, _: Attempt<()>) -> impl Future<Output = Done<()>> + 'static {
+        std::future::ready(Done::without_answer(Outcome::Served))
+    }
+}
+
+#[test]
+fn of_two_attempts_one_alone_gets_a_body_that_goes_once() {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    tokio::task::LocalSet::new().block_on(&runtime, async {
+        let seen: Rc<RefCell<Vec<bool>>> = Rc::default();
+        let class = Class { aim: 0.2, deadline: 20.0, effect: Effect::Safe, ..Class::default() };
+        // Attempts that lost are not cancelled, so that both get as far.
+        let settings = Settings {
+            classes: vec![class],
+            cancel: false,
+            second_copies: true,
+            max_attempts: 4,
+            ..Settings::default()
+        };
+        let bounds = Bounds { drain_grace: LONG, max_open: 10 };
+        let engine = Engine::start(settings, bounds, 7, Waits(seen.clone()));
+        let listed = |n| Listed {
+            entry: Entry { id: BackendId(n), ..Entry::default() },
+            address: ([127, 0, 0, 1], 1).into(),
+        };
+        engine.news(News::Remembered(vec![listed(1), listed(2), listed(3)]));
+        let request = Request { budget: 15.0, ..Request::default() };
+        let (_, answer) = engine.request(None, request, ()).unwrap();
+        let answered = tokio::time::timeout(LONG, answer).await.expect("an answer in time");
+        assert!(matches!(answered, Ok(Answer::Served(()))));
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        assert_eq!(seen.borrow().iter().filter(|only| **only).count(), 1, "{:?}", seen.borrow());
+        assert!(seen.borrow().len() >= 4, "a second one was out: {:?}", seen.borrow());
+    });
+}
--- a/crates/dewpier/tests/upgrade.rs
+++ b/crates/dewpier/tests/upgrade.rs
@@ -42,6 +42,14 @@
     })
 }
 
+/// One that takes clients, and where.
+fn first(start: impl Fn(&str) -> Proxy) -> (Proxy, std::net::SocketAddr) {
+    let proxy = start("127.0.0.1:0");
+    wait_for("a yes", || takes(&proxy));
+    let address = proxy.address;
+    (proxy, address)
+}
+
 /// Ids that reached any of them more than once.
 fn twice(backends: &[&Played]) -> Vec<String> {
     let mut seen = HashSet::new();
@@ -152,9 +160,7 @@
     let all = [&backends[0], &backends[1]];
     let (config, folder, lists) = (config(&all), folder("ups"), quiet());
     let start = |address: &str| Proxy::at(address, &config, lists.address, &folder).expect("it starts");
-    let mut old = start("127.0.0.1:0");
-    let address = old.address;
-    wait_for("a yes", || takes(&old));
+    let (mut old, address) = first(start);
     let counts = under_load(address, |orders| {
         for n in 0..upgrades {
             let back = orders.counts()[1];
@@ -182,9 +188,7 @@
     let all = [&backends[0], &backends[1]];
     let (config, folder, lists) = (config(&all), folder("dies"), quiet());
     let start = |address: &str| Proxy::at(address, &config, lists.address, &folder).expect("it starts");
-    let mut old = start("127.0.0.1:0");
-    let address = old.address;
-    wait_for("a yes", || takes(&old));
+    let (mut old, address) = first(start);
     let [_, back, other] = under_load(address, |orders| {
         for hung in [false, true, false, true] {
             served_on(orders);
@@ -282,3 +286,47 @@
     wait_for("a call for news", || lists.count() > before);
     assert!(before <= 1 && old.address == new.address);
 }
+
+#[test]
+fn who_stops_takes_nothing_more_while_it_gives_its_last_answers() {
+    let (held, release) = Played::held("done");
+    let mut config = config(&[&held]);
+    // So long is served after SIGTERM at the least: half of that and 0.7 s.
+    for class in 0..3 {
+        config["settings"]["classes"][class]["hard-limit"] = json!(3.0);
+    }
+    let (folder, lists) = (folder("last"), quiet());
+    let old = Proxy::at("127.0.0.1:0", &config, lists.address, &folder).unwrap();
+    let address = old.address;
+    wait_for("a yes", || takes(&old));
+    // Its successor has the socket from it, and is the one that stops.
+    let mut last = Proxy::at(&address.to_string(), &config, lists.address, &folder).unwrap();
+    wait_for("a yes of the new one", || takes(&last));
+    ended_well(old);
+    last.signal("-TERM");
+    let mut stream = last.connect();
+    std::thread::sleep(Duration::from_millis(1500));
+    stream.get_mut().write_all(request("order", 2900).as_bytes()).unwrap();
+    wait_for("an attempt", || held.count() == 1);
+    wait_for("a refusal", || TcpStream::connect(address).is_err());
+    assert!(last.child.try_wait().unwrap().is_none(), "it has an answer to give yet");
+    release.send(()).unwrap();
+    assert_eq!(read(&mut stream).expect("an answer").status(), 200);
+    wait_for("exit", || last.child.try_wait().unwrap().is_some());
+    assert_eq!(last.child.wait().unwrap().code(), Some(0));
+}
+
+#[test]
+fn one_that_waits_for_a_list_stops_when_it_is_told() {
+    let backends = [backend()];
+    let (whole, folder, lists) = (config(&[&backends[0]]), folder("waits"), quiet());
+    let old = Proxy::at("127.0.0.1:0", &whole, lists.address, &folder).unwrap();
+    let address = old.address.to_string();
+    wait_for("a yes", || takes(&old));
+    ended_well(Proxy::at(&address, &config(&[]), lists.address, &folder).unwrap());
+    assert_eq!(old.ask(&request("order", 5000)).status(), 200);
+    // Where the old one ends meanwhile, somebody must answer.
+    let alone = Proxy::at(&address, &config(&[]), lists.address, &folder).unwrap();
+    ended_well(old);
+    assert_eq!(alone.ask("GET /-/ready HTTP/1.1\r\nHost: a\r\n\r\n").status(), 503);
+}
--- a/crates/handover/src/io/mod.rs
+++ b/crates/handover/src/io/mod.rs
@@ -12,7 +12,7 @@
 use std::net::{SocketAddr, TcpListener};
 use std::os::fd::{AsFd, OwnedFd};
 use std::path::{Path, PathBuf};
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt, Interest};
 use tokio::net::{UnixListener, UnixStream};
@@ -37,22 +37,20 @@
     /// Nobody serves the address, as far as can be told.
     Nobody,
     /// Somebody does, and gave its socket.
-    Given(Given),
+    Given(TcpListener, Before),
     /// Somebody does, and gives it to another new process just now.
     Busy,
     /// Somebody does, and gave none: why.
     Kept(String),
 }
 
-/// A socket that was handed over, and the connection to the process that gave it.
+/// The connection to the process that gave its socket.
 #[derive(Debug)]
-pub struct Given {
-    /// The socket.
-    pub listener: TcpListener,
+pub struct Before {
     stream: UnixStream,
 }
 
-impl Given {
+impl Before {
     /// Tells the other one that this process accepts now.
     pub async fn taking(&mut self) -> io::Result<()> {
         self.stream.write_all(Message::Taking.to_string().as_bytes()).await
@@ -84,7 +82,7 @@
             let listener = TcpListener::from(descriptor);
             listener.local_addr()?; // a socket of another kind is none
             listener.set_nonblocking(true)?;
-            Ok(Found::Given(Given { listener, stream }))
+            Ok(Found::Given(listener, Before { stream }))
         }
         (Some(Message::Busy), None) => Ok(Found::Busy),
         (Some(no), None) => Ok(Found::Kept(no.to_string().trim_end().to_string())),
@@ -129,9 +127,9 @@
     Ok(listener)
 }
 
-/// Gives `listener` to new processes, one at a time, until it is dropped. What the process itself has to do about it
-/// goes to `act`.
-pub async fn attend(door: UnixListener, listener: impl AsFd + 'static, act: impl Fn(Do) + 'static) {
+/// Gives `listener` to new processes, one at a time, until it is dropped. It is held weakly: a process that closes it
+/// takes nothing more, whoever attends here. What the process itself has to do about it goes to `act`.
+pub async fn attend(door: UnixListener, listener: Weak<impl AsFd + 'static>, act: impl Fn(Do) + 'static) {
     let shared = Rc::new(Shared { giver: RefCell::default(), listener, act });
     let mut next: Peer = 0;
     let mut peers = tokio::task::JoinSet::new();
@@ -154,7 +152,7 @@
 
 struct Shared<L, A> {
     giver: RefCell<Giver>,
-    listener: L,
+    listener: Weak<L>,
     act: A,
 }
 
@@ -178,7 +176,13 @@
         let mut stays = true;
         for done in todo {
             let sent = match done {
-                Do::Give(_) => stream.async_io(Interest::WRITABLE, || send(stream, &self.listener)).await,
+                Do::Give(_) => {
+                    let give = || match self.listener.upgrade() {
+                        Some(listener) => send(stream, &*listener),
+                        None => Err(io::ErrorKind::NotConnected.into()),
+                    };
+                    stream.async_io(Interest::WRITABLE, give).await
+                }
                 Do::Tell(_, message) => stream.write_all(message.to_string().as_bytes()).await,
                 Do::Drop(_) => {
                     stays = false;
--- a/crates/http/src/backend.rs
+++ b/crates/http/src/backend.rs
@@ -275,7 +275,7 @@
                 let mut request = Request::new(Outgoing::default());
                 *request.uri_mut() = hyper::Uri::from_static(path);
                 request.headers_mut().insert("host", HeaderValue::from_static("backend"));
-                request
+                Some(request)
             };
             let within = 4 * endpoint.connect_timeout;
             let asks = Asks {
@@ -313,7 +313,7 @@
     attempt: &Attempt<R>,
     asks: Asks,
     head_only: bool,
-    request: impl Fn(Option<&Progress>) -> Request<Outgoing>,
+    request: impl Fn(Option<&Progress>) -> Option<Request<Outgoing>>,
     begin: impl Fn(Served) -> bool,
 ) -> Done<Served> {
     let Asks { answers, counts, stake, passes, long } = asks;
@@ -335,10 +335,12 @@
         if passes.is_some() && !attempt.keep.only() {
             return Done::without_answer(Outcome::NeverSent);
         }
+        let Some(outgoing) = request(passes.as_ref().map(|(progress, _)| progress)) else {
+            return Done::without_answer(Outcome::NeverSent);
+        };
         written.set(true);
         let new = idle.is_none();
         let begun = Instant::now();
-        let outgoing = request(passes.as_ref().map(|(progress, _)| progress));
         match peer.exchange(outgoing, counts.clone(), passes.clone()).await {
             Ok(came) => {
                 endpoint.used(idle, false);
--- a/crates/http/src/limits.rs
+++ b/crates/http/src/limits.rs
@@ -22,14 +22,22 @@
     pub backends: usize,
     /// Bytes of requests' bodies held at once.
     pub bodies: usize,
+    /// Bytes held at once of bodies that are passed on.
+    pub streams: usize,
 }
 
 impl Caps {
     /// These, or half of them while another process shares the limits.
     pub fn shared(self, beside: bool) -> Self {
         let part = |cap: usize| if beside { (cap / 2).max(1) } else { cap };
-        let Self { clients, backends, bodies } = self;
-        Self { clients: part(clients), backends: part(backends), bodies: part(bodies).max(MOST_BODY) }
+        let Self { clients, backends, bodies, streams } = self;
+        let room = |cap: usize| part(cap).max(MOST_BODY);
+        Self {
+            clients: part(clients),
+            backends: part(backends),
+            bodies: room(bodies),
+            streams: room(streams),
+        }
     }
 
     /// The caps of a process with so many descriptors and bytes of memory. Clients get the larger
@@ -40,7 +48,8 @@
         Self {
             clients: (descriptors * 3 / 5).min(part / MOST_HEAD).max(1),
             backends: (descriptors * 2 / 5).min(part / (MOST_HEAD + MOST_BODY)).max(1),
-            bodies: part.max(MOST_BODY),
+            bodies: (part / 2).max(MOST_BODY),
+            streams: (part * 3 / 4).max(MOST_BODY),
         }
     }
 }
--- a/crates/http/src/payload.rs
+++ b/crates/http/src/payload.rs
@@ -46,14 +46,14 @@
         }
     }
 
-    /// The request for an attempt that is given up after `wait` seconds. What is passed on goes with it.
-    pub fn request(&self, wait: Time, progress: Option<&Progress>) -> hyper::Request<Outgoing> {
+    /// The request for an attempt that is given up after `wait` seconds. What is passed on goes with it, and there is
+    /// none where that has gone with another one.
+    pub fn request(&self, wait: Time, progress: Option<&Progress>) -> Option<hyper::Request<Outgoing>> {
         let body = match &self.body {
             Carried::Whole(body) => Outgoing::Whole(Full::new(body.clone())),
-            Carried::Passed(begun, _) => match begun.take() {
-                Some(begun) => Outgoing::Passed(begun, progress.cloned().unwrap_or_default()),
-                None => Outgoing::default(),
-            },
+            Carried::Passed(begun, _) => {
+                Outgoing::Passed(begun.take()?, progress.cloned().unwrap_or_default())
+            }
         };
         let mut request = hyper::Request::new(body);
         *request.method_mut() = self.method.clone();
@@ -65,6 +65,6 @@
         }
         let wait = HeaderValue::from((wait.max(0.0) * 1000.0) as u64);
         request.headers_mut().insert("x-remaining-ms", wait);
-        request
+        Some(request)
     }
 }
--- a/crates/http/src/request.rs
+++ b/crates/http/src/request.rs
@@ -89,6 +89,15 @@
 /// and a second later for each so many bytes of it: half of what the slowest clients send.
 const SLOWEST: u32 = 32 << 10;
 
+/// Room for bodies. Long ones have their own, lest slow uploads keep out what is short.
+#[derive(Debug)]
+pub struct Room {
+    /// For those that are held whole, in bytes.
+    pub bodies: Rc<Budget>,
+    /// For those that are passed on.
+    pub streams: Rc<Budget>,
+}
+
 /// Reads a request. What can be told from its head is refused before its body is read. `names_length` says whether
 /// the raw head named a length, if that is known.
 pub async fn read(
@@ -96,7 +105,7 @@
     settings: &Settings,
     wire: &WireSettings,
     dialect: &Dialect,
-    bodies: &Rc<Budget>,
+    room: &Room,
     names_length: Option<bool>,
 ) -> Result<Asked, Unfit> {
     let (mut head, body) = request.into_parts();
@@ -127,11 +136,15 @@
             (None, plain(&head.method, head.uri.path(), &head.headers, settings, routes)?)
         }
     };
+    let long = length.is_some_and(|length| length > MOST_BODY as u64);
     let most = length.map_or(MOST_BODY, |l| usize::try_from(l).unwrap_or(MOST_BODY).min(MOST_BODY));
-    let room = bodies.take(most).ok_or(Unfit::NoRoom)?;
+    let (bodies, streams) = (&room.bodies, &room.streams);
+    let room = if long { streams } else { bodies }.take(most).ok_or(Unfit::NoRoom)?;
     let (body, room) = match whole(body, length).await? {
         Read::Whole(body) => (Carried::Whole(body), Some(room)),
         Read::Begun(first, rest) => {
+            // One that turns out to be long goes over to the room for those.
+            let room = if long { room } else { streams.take(most).ok_or(Unfit::NoRoom)? };
             let left = length.map(|length| length.saturating_sub(first.len() as u64));
             let patience = Duration::try_from_secs_f64(request.budget).unwrap_or_default();
             (Carried::Passed(RefCell::new(Some(Begun { first, rest, left, room })), patience), None)
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -6,7 +6,7 @@
 use crate::config::WireSettings;
 use crate::limits::{Budget, Caps, MOST_HEAD};
 use crate::payload::Carried;
-use crate::request::{self, Asked, Dialect, Unfit};
+use crate::request::{self, Asked, Dialect, Room, Unfit};
 use bytes::Bytes;
 use dewpier_operate::calls::{self, Call};
 use dewpier_operate::figures::{Ending, Figures, Members};
@@ -52,8 +52,7 @@
     clients: Rc<Clients>,
     /// Accepted, and waiting for a place: a stop must not lose it.
     in_hand: Cell<Option<TcpStream>>,
-    /// Room for the bodies of requests.
-    bodies: Rc<Budget>,
+    room: Room,
     caps: Caps,
     /// Other processes that share the limits.
     others: Cell<usize>,
@@ -133,7 +132,7 @@
             closing: watch::Sender::new(false),
             clients: Clients::new(caps.clients),
             in_hand: Cell::new(None),
-            bodies: Budget::new(caps.bodies),
+            room: Room { bodies: Budget::new(caps.bodies), streams: Budget::new(caps.streams) },
             caps,
             others: Cell::new(0),
             changed: Notify::new(),
@@ -141,7 +140,9 @@
     }
 
     /// Serves until `stop`, then goes on for a while, answers all that was taken, and returns.
-    pub async fn run(self: Rc<Self>, listener: TcpListener, stop: impl Future<Output = ()>) {
+    /// Whoever else holds the listener must do so weakly: it is closed before the last answers are given, so that
+    /// nothing more is taken.
+    pub async fn run(self: Rc<Self>, listener: Rc<TcpListener>, stop: impl Future<Output = ()>) {
         let accepting = self.clone().accept(&listener);
         let stopped = async {
             stop.await;
@@ -191,7 +192,8 @@
         self.others.set(if beside { others + 1 } else { others.saturating_sub(1) });
         let caps = self.caps.shared(self.others.get() > 0);
         self.clients.bound(caps.clients);
-        self.bodies.bound(caps.bodies);
+        self.room.bodies.bound(caps.bodies);
+        self.room.streams.bound(caps.streams);
         self.engine.upstream().connections.bound(caps.backends);
     }
 
@@ -320,7 +322,7 @@
     }
 
     async fn read(&self, request: hyper::Request<Incoming>, length: Option<bool>) -> Result<Asked, Unfit> {
-        request::read(request, &self.settings, &self.wire, &self.dialect, &self.bodies, length).await
+        request::read(request, &self.settings, &self.wire, &self.dialect, &self.room, length).await
     }
 
     async fn reply(&self, request: hyper::Request<Incoming>, client: &Rc<Client>, full: bool) -> Reply {
--- a/crates/operate/src/io/mod.rs
+++ b/crates/operate/src/io/mod.rs
@@ -1,7 +1,6 @@
 //! The operators' server: a thin shell that hands lines to whoever answers them.
 
 use crate::calls::{Call, MOST_LINE};
-use std::cell::RefCell;
 use std::io;
 use std::rc::Rc;
 use std::time::Duration;
@@ -22,11 +21,12 @@
 /// Serves operators until it is dropped. Runs on a [`tokio::task::LocalSet`]; `answer` is asked between two turns of
 /// all else there.
 pub async fn serve(listener: TcpListener, answer: Rc<dyn Fn(Call) -> String>) {
-    let callers: RefCell<Vec<JoinHandle<()>>> = RefCell::default();
+    let mut callers: Vec<JoinHandle<()>> = Vec::new();
+    let mut failing = false;
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                let mut callers = callers.borrow_mut();
+                failing = false;
                 callers.retain(|caller| !caller.is_finished());
                 if callers.len() >= MOST_CALLERS {
                     callers.remove(0).abort();
@@ -34,7 +34,10 @@
                 callers.push(tokio::task::spawn_local(one(stream, answer.clone())));
             }
             Err(error) => {
-                eprintln!("operators: {error}");
+                // One event for as long as it lasts: callers could fill the log with them.
+                if !std::mem::replace(&mut failing, true) {
+                    tracing::warn!(%error, "operators' calls can't be taken");
+                }
                 tokio::time::sleep(PAUSE).await;
             }
         }
--- a/src/engine/streamed.rs
+++ b/src/engine/streamed.rs
@@ -27,6 +27,9 @@
         let (Some(open), Some(running)) = (open.get_mut(&id), running.get_mut(&(id, attempt))) else {
             return false;
         };
+        if open.kept.is_some() {
+            return false; // what can be sent once is with another attempt
+        }
         open.kept = Some(attempt);
         running.streams = true;
         running.kept = true;
