The module takes beliefs about backends, the engine tells an observer of attempts

Need: what the fleet holds of a node has to count beside what a proxy saw itself.

A belief counts as slowness until an attempt sent after it was told is answered.

--- a/src/engine/affine.rs
+++ b/src/engine/affine.rs
@@ -35,6 +35,7 @@
             until,
             attempts: 0,
             affine: true,
+            class: 0,
             kept: None,
             fallback: None,
         };
--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -97,6 +97,8 @@
     attempts: usize,
     /// One backend alone can do it: the module does not know of it.
     affine: bool,
+    /// Its class.
+    class: usize,
     /// This attempt is its only one, and sets its own time limit.
     kept: Option<usize>,
     /// The last error that a backend worded.
@@ -156,6 +158,18 @@
     endpoints: HashMap<BackendId, Known<U>>,
 }
 
+/// What an observer is told of attempts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Seen {
+    /// One begins, of a request of that class.
+    Began(BackendId, usize),
+    /// It has ended.
+    Ended(Outcome),
+}
+
+/// Who is told of attempts, each by its request and its number there.
+type Observer = Box<dyn Fn(RequestId, usize, Seen)>;
+
 /// Where wishes for the list go.
 type Source = Box<dyn Fn(Ask)>;
 
@@ -181,6 +195,7 @@
     listed: Cell<bool>,
     /// Where the module's wishes for the list go.
     source: RefCell<Option<Source>>,
+    observer: RefCell<Option<Observer>>,
     drain_grace: Time,
     max_open: usize,
     max_attempts: usize,
@@ -204,6 +219,7 @@
             lag: Cell::new(0.0),
             listed: Cell::new(false),
             source: RefCell::default(),
+            observer: RefCell::default(),
             drain_grace: bounds.drain_grace.as_secs_f64(),
             max_open: bounds.max_open,
             max_attempts: settings.max_attempts,
@@ -241,6 +257,25 @@
         *self.source.borrow_mut() = Some(Box::new(source));
     }
 
+    /// Tells `observer` of every attempt. It is called while the engine is at work, and must not call back.
+    pub fn observe(&self, observer: impl Fn(RequestId, usize, Seen) + 'static) {
+        *self.observer.borrow_mut() = Some(Box::new(observer));
+    }
+
+    fn observed(&self, id: RequestId, attempt: usize, seen: Seen) {
+        self.observer.borrow().iter().for_each(|observer| observer(id, attempt, seen));
+    }
+
+    /// What many proxies together hold of backends: how many times slower than normal they are, 0 taking it back.
+    pub fn believe(&self, held: &[(BackendId, f64)]) {
+        let mut state = self.state.borrow_mut();
+        let believed = |(backend, slowness): &(BackendId, f64)| {
+            Told::Event(Event::Believed { backend: *backend, slowness: *slowness })
+        };
+        state.told.extend(held.iter().map(believed));
+        self.decide(state);
+    }
+
     /// It has been listed, and not been gone for longer than sends to it may take.
     pub fn knows(&self, backend: BackendId) -> bool {
         self.state.borrow().endpoints.contains_key(&backend)
@@ -300,8 +335,17 @@
         let until = now + request.budget - 0.5 * ANSWER_WAY;
         request.budget -= ANSWER_WAY;
         let payload = Rc::new(payload);
-        let open =
-            Open { txn, answer, payload, until, attempts: 0, affine: false, kept: None, fallback: None };
+        let open = Open {
+            txn,
+            answer,
+            payload,
+            until,
+            attempts: 0,
+            affine: false,
+            class: request.class,
+            kept: None,
+            fallback: None,
+        };
         state.open.insert(request.id, open);
         self.set_timer(&mut state, until, Due::Request(request.id));
         let id = request.id;
@@ -322,9 +366,11 @@
         let mut state = self.state.borrow_mut();
         let Some(open) = close(&mut state, id) else { return };
         if open.affine {
+            self.observed(id, 0, Seen::Ended(Outcome::Cancelled));
             return give_up(&mut state, id, 0);
         }
         if let Some(attempt) = open.kept {
+            self.observed(id, attempt, Seen::Ended(Outcome::Cancelled));
             let backend = state.running.get(&(id, attempt)).map(|running| running.backend);
             give_up(&mut state, id, attempt);
             if let Some(backend) = backend {
@@ -404,6 +450,7 @@
             return; // ended otherwise before
         };
         running.task.abort();
+        self.observed(id, attempt, Seen::Ended(done.outcome));
         if let Some(Known { counts, .. }) = state.endpoints.get_mut(&running.backend) {
             counts.in_flight = counts.in_flight.saturating_sub(1);
             match done.outcome {
@@ -533,6 +580,7 @@
         let until = if timeout == 0.0 { open.until } else { (now + timeout).min(open.until) };
         let written = Rc::new(Cell::new(false));
         let affine = open.affine;
+        self.observed(id, attempt, Seen::Began(backend, open.class));
         let (begin, keep) = (self.begins(id, attempt), self.keeps(id, attempt));
         let made = Attempt { gate, backend, clock: self.clock, until, written: written.clone(), begin, keep };
         let attempted = self.upstream.attempt(endpoint, open.payload.clone(), made);
@@ -639,6 +687,7 @@
                 Due::Request(id) if state.open.get(&id).is_some_and(|open| open.kept.is_some()) => {}
                 Due::Request(id) => {
                     if state.open.get(&id).is_some_and(|open| open.affine) {
+                        self.observed(id, 0, Seen::Ended(Outcome::Timeout));
                         affine::late(&mut state, id);
                     } else if state.open.contains_key(&id) {
                         answer(&mut state, id, Answer::Failed);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -293,6 +293,14 @@
     },
     /// News of the list.
     List(ListUpdate<'a>),
+    /// What many balancers together hold of a backend: it is so many times slower than normal, a failure being
+    /// 8; 0 takes it back. What this one sees of attempts that it sends after it was told counts instead.
+    Believed {
+        /// Which.
+        backend: BackendId,
+        /// How much slower.
+        slowness: f64,
+    },
 }
 
 /// What a balancer wants done.
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -1,10 +1,9 @@
 //! Every decision of the balancer. The types it speaks in are in `interface.rs`.
 //!
-//! The mechanism is that of Hong, Huang and Yan, "Controlling Retransmission Rate For
-//! Mitigating SIP Overload": a call that is unanswered or failed when one of its doubling
-//! timers fires is sent once more with probability p, and p falls as the number of unanswered
-//! calls rises from one to three T1-worths of the average send rate. By Little's law that
-//! number over that rate is the mean wait, so p compares the mean wait with T1.
+//! The mechanism is that of Hong, Huang and Yan, "Controlling Retransmission Rate For Mitigating SIP
+//! Overload": a call unanswered or failed when one of its doubling timers fires is sent once more with
+//! probability p, which falls as unanswered calls rise from one to three T1-worths of the average send rate.
+//! By Little's law that number over that rate is the mean wait, so p compares the mean wait with T1.
 
 use crate::interface::*;
 use rand::rngs::SmallRng;
@@ -84,9 +83,8 @@
 /// Under pressure a request waits at the entry, up to this part of its patience, before it is
 /// turned away: where few calls are in flight the excess comes and goes within a few answers.
 const ENTRY_WAIT: f64 = 0.25;
-/// Least number of members of a subset. Guards against draws of slow machines alone where speeds
-/// differ: of two members both are among the slower half for every fourth balancer, which then
-/// drives them over while others idle.
+/// Least number of members of a subset. Guards against draws of slow machines alone: of two members both are
+/// among the slower half for every fourth balancer, which then drives them over while others idle.
 const SUBSET: usize = 5;
 /// The same at the entry, where more of them even out what each happens to get.
 const ENTRY_SUBSET: usize = 3;
@@ -198,6 +196,8 @@
     cold: Bucket,
     /// How long a request takes it, by its reports.
     service: Option<Time>,
+    /// What others hold of it, and since when.
+    believed: (f64, Time),
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -420,6 +420,10 @@
             Event::Timer(token) => self.timer(token, actions),
             Event::Probed { backend, report, .. } => self.take_report(backend, report),
             Event::List(update) => self.list(update, actions),
+            Event::Believed { backend, slowness } => {
+                let known = self.by_backend.get(&backend).copied();
+                known.into_iter().for_each(|b| self.backends[b].believed = (slowness, now));
+            }
         }
         self.let_in(actions);
     }
@@ -500,10 +504,9 @@
         }
     }
 
-    /// Puts a call in line at the entry. Those of one class that lie within their shares, or those
-    /// that don't, are worth the same, and the lots that they drew among each other go by age: the
-    /// oldest gets the best. Guards against a call that drew badly and is passed by younger ones
-    /// until its time at the entry is over.
+    /// Puts a call in line at the entry. Those of one class within their shares, or those that are not,
+    /// are worth the same, and the lots they drew go by age: the oldest gets the best. Guards against a
+    /// call that drew badly and is passed by younger ones until its time at the entry is over.
     fn wait_at_entry(&mut self, slot: Slot) {
         let (class, over, rank) = (self.calls[slot].class, self.calls[slot].over, self.calls[slot].rank);
         let place = self.queue.partition_point(|s| self.calls[*s].rank < rank);
@@ -714,15 +717,13 @@
             return;
         }
         if kind == LAST {
-            // Its time is up. The time-out of its attempt finds the call gone, so that a hung
-            // backend has to be noticed here.
+            // Its time is up. Its attempt's time-out finds the call gone: a hung backend is noticed here.
             self.learn_waiting(slot, true);
             return self.finish_unserved(slot, actions);
         }
         self.calls[slot].fired += 1;
         self.set_timer(slot, actions);
-        // A backend that has answered since is alive, and the call merely long: a copy would
-        // double the work of the longest calls, which is what tips a busy fleet over.
+        // A backend that has answered since is alive, and the call merely long: a copy would double it.
         let alive = self.learn_waiting(slot, false);
         let chance = (self.repeat_chance(self.calls[slot].t1) * (1.0 - self.pressure())).max(P_MIN);
         if !alive && self.may_send(slot).is_some() && self.rng.random::<f64>() < chance {
@@ -836,9 +837,8 @@
         (len > 0).then(|| self.rng.random_range(0..len))
     }
 
-    /// Own calls in flight, this one included, and those of others that it has reported, per
-    /// weight. A backend that fails fast or hangs looks idle to such a count, so slowness and
-    /// failures seen there count as load.
+    /// Own calls in flight, this one included, and those of others that it has reported, per weight. What
+    /// fails fast or hangs looks idle to such a count, so slowness and failures seen there count as load.
     fn load(&self, backend: usize) -> f64 {
         let b = &self.backends[backend];
         let away = if self.away(backend) { 1.0 + AWAY_LOAD * self.settings.cross_zone } else { 1.0 };
@@ -1095,7 +1095,8 @@
     /// would pile up behind them. One that is busy goes on answering, however many wait. It could
     /// do harm where answers are rare and long: silence is then normal, at all members alike.
     fn slowness(&self, backend: &Backend) -> f64 {
-        let seen = self.seen(backend);
+        let (believed, since) = backend.believed;
+        let seen = self.seen(backend).max(if backend.answered_sent > since { 0.0 } else { believed });
         if backend.in_flight == 0 || self.wait.mean <= 0.0 {
             return seen;
         }
@@ -1153,8 +1154,7 @@
         self.forget();
     }
 
-    /// Forgets backends that are gone and that no call or attempt names: where all are replaced
-    /// by ever new ones, keeping them would grow without end.
+    /// Forgets backends that are gone and that nothing names: ever new ones would grow without end.
     fn forget(&mut self) {
         for (i, b) in self.backends.iter().enumerate() {
             let unnamed = b.entry.status == Status::Gone && b.in_flight == 0 && b.named == 0;
@@ -1181,6 +1181,7 @@
                 alive_at: self.now,
                 cold: fresh,
                 service: None,
+                believed: (0.0, self.now),
             };
             let place = self.vacant.pop().unwrap_or(self.backends.len());
             self.by_backend.insert(entry.id, place);
