dewpier serve and forwarder share verdicts by [fleet]; processes under faults from seeds

Need: many processes of the program are to hold one view of nodes, within a stated bound, when links fail.

The platform's program keeps no file and binds no further socket, tested.

--- a/crates/dewpier/src/command.rs
+++ b/crates/dewpier/src/command.rs
@@ -40,11 +40,19 @@
     /// Ask a running proxy, or have it emptied: exit 0 where it says yes, 1 where it says no, 2 where nothing comes
     Operate {
         /// What to ask
-        #[arg(value_parser = ["check", "vars", "drain-on", "drain-off"])]
+        #[arg(value_parser = ["check", "vars", "drain-on", "drain-off", "verdicts", "avoid", "trust", "as-seen"])]
         call: String,
+        /// Of which node, by its name in the list: for avoid, trust, as-seen
+        node: Option<String>,
+        /// For how many seconds: for avoid and trust
+        #[arg(long = "for", value_name = "SECONDS")]
+        seconds: Option<u64>,
         /// Where it is asked: `operator` in its configuration
         #[arg(long, value_name = "ADDRESS")]
         at: SocketAddr,
+        /// Verdicts as JSON
+        #[arg(long)]
+        json: bool,
     },
     /// Look at what forwarders go by
     #[command(subcommand)]
@@ -160,7 +168,18 @@
         Command::Forwarder(WithConfig { config }) => serve(&config, true),
         Command::Planner(WithConfig { config }) => plan(&config),
         Command::Check(WithConfig { config }) => check(&config),
-        Command::Operate { call, at } => operate(&call, at),
+        Command::Operate { call, node, seconds, at, json } => match (call.as_str(), node, seconds, json) {
+            ("verdicts", None, None, true) => operate("verdicts-json", at),
+            (_, _, _, true) => bad(format!("{call}: --json is for verdicts")),
+            ("avoid" | "trust", Some(node), Some(seconds), _) => {
+                operate(&format!("{call} {seconds} {node}"), at)
+            }
+            ("avoid" | "trust", ..) => bad(format!("{call}: expected a node and --for SECONDS")),
+            ("as-seen", Some(node), None, _) => operate(&format!("{call} {node}"), at),
+            ("as-seen", ..) => bad(format!("{call}: expected a node, and no --for")),
+            (_, None, None, _) => operate(&call, at),
+            _ => bad(format!("{call}: expected neither a node nor --for")),
+        },
         Command::Plan(OfPlan::Show { config, json }) => show(&config, json),
         Command::Inventory(OfInventory::Check { file, format, encoding, group, default_port, json }) => {
             let options = Options { format, encoding, group, default_port, ..Options::default() };
--- a/crates/dewpier/src/config/mod.rs
+++ b/crates/dewpier/src/config/mod.rs
@@ -2,6 +2,7 @@
 
 mod check;
 mod classes;
+mod fleet;
 mod inventory;
 mod mysql;
 mod planner;
@@ -11,6 +12,7 @@
 mod tests;
 
 pub use check::ConfigError;
+pub use fleet::Fleet;
 pub use inventory::Inventory;
 pub use mysql::{MySqlConfig, Secrets, hash};
 pub use planner::PlannerConfig;
@@ -20,6 +22,7 @@
 use classes::{Classes, RawClass, classes};
 use dewpier_http::config::WireSettings;
 use dewpier_http::routes::Routes;
+use fleet::{RawFleet, fleet};
 use gannetproxy::Settings;
 use inventory::{RawInventory, inventory};
 use mysql::{RawMySql, mysql};
@@ -52,6 +55,10 @@
     pub routes: Routes,
     /// A front for MySQL clients beside it, if there is to be one.
     pub mysql: Option<MySqlConfig>,
+    /// The zone that the proxy is in.
+    pub zone: String,
+    /// The fleet that it belongs to, if it tells others what it sees.
+    pub fleet: Option<Fleet>,
 }
 
 /// Where a list of backends comes from.
@@ -81,6 +88,7 @@
     #[serde(default)]
     class: Vec<RawClass>,
     mysql: Option<RawMySql>,
+    fleet: Option<RawFleet>,
 }
 
 #[derive(Default, Deserialize)]
@@ -186,6 +194,8 @@
             wire,
             routes: Routes::new(routes),
             mysql: file.mysql.as_ref().map(|raw| mysql(raw, &file.zone, path)).transpose()?,
+            fleet: file.fleet.as_ref().map(|raw| fleet(raw, path)).transpose()?,
+            zone: file.zone,
         })
     }
 }
--- a/crates/dewpier/src/config/tests.rs
+++ b/crates/dewpier/src/config/tests.rs
@@ -1,6 +1,7 @@
 use super::*;
 use gannetproxy::Effect;
 use hyper::Method;
+use std::path::PathBuf;
 
 const LEAST: &str = "listen = \"127.0.0.1:0\"\n[inventory]\nfile = \"nodes.csv\"\n";
 
@@ -151,3 +152,56 @@
         assert!(told.contains(words) && told.lines().count() == 1, "{words}: {told}");
     }
 }
+
+#[test]
+fn a_fleet_is_read_whole_or_refused_with_its_place() {
+    let folder = std::env::temp_dir().join(format!("dewpier-fleet-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).unwrap();
+    std::fs::write(folder.join("key"), "sixteen bytes or more").unwrap();
+    std::fs::write(folder.join("short"), "short").unwrap();
+    let read = |settings: &str| {
+        let text = format!("{LEAST}[fleet]\n{settings}\n");
+        Config::parse(&text, &folder.join("dewpier.toml")).map_err(|error| error.to_string())
+    };
+    let peers =
+        "peers = [{ name = \"a\", address = \"127.0.0.1:1\" }, { name = \"b\", address = \"127.0.0.1:2\" }]";
+    let least = format!("name = \"a\"\nlisten = \"127.0.0.1:1\"\nkey_file = \"key\"\n{peers}");
+    let fleet = read(&least).unwrap().fleet.unwrap();
+    // One list serves all: the proxy itself is in it.
+    assert_eq!((fleet.peers.len(), fleet.verdicts.proxies, fleet.every.as_millis()), (1, 2, 250));
+    assert!(parse(LEAST).unwrap().fleet.is_none(), "off unless it is set");
+    assert!(fleet.snapshot.is_none(), "off unless it is set");
+    let kept = read(&format!("{least}\nsnapshot_file = \"known\"")).unwrap().fleet.unwrap().snapshot;
+    assert_eq!(kept, Some(folder.join("known")));
+    // A configuration that is named without a folder.
+    let key = folder.join("key").display().to_string();
+    let bare = least.replace("\"key\"", &format!("\"{key}\""));
+    let text = format!("{LEAST}[fleet]\n{bare}\nsnapshot_file = \"known\"\n");
+    let kept = Config::parse(&text, Path::new("dewpier.toml")).unwrap().fleet.unwrap().snapshot;
+    assert_eq!(kept, Some(PathBuf::from("known")));
+    for (settings, line, expected) in [
+        (least.replace("\"key\"", "\"short\""), 7, "16 to 4096 bytes"),
+        (least.replace("\"key\"", "\"none\""), 7, "16 to 4096 bytes"),
+        (least.replace("\"b\"", "\"a\""), 0, ""),
+        (least.replace("{ name = \"a\"", "{ name = \"b\""), 8, "a name that no other proxy has"),
+        (least.replace("127.0.0.1:2", "there"), 8, "address:port"),
+        (format!("{least}\nquorum = 1"), 9, "from 2 to 64"),
+        (format!("{least}\nstale_ms = 2000\nevery_ms = 400"), 10, "at most a sixth of stale_ms, 333 ms"),
+        (format!("{least}\nmost_out = 1.5"), 9, "from 0 to 0.9"),
+        (format!("{least}\nsnapshot_file = \"none/known\""), 9, "a file in a folder that is there"),
+        (format!("{least}\nsnapshot_file = \"..\""), 9, "a file in a folder that is there"),
+        (format!("{least}\ngossip = true"), 9, "unknown field"),
+    ] {
+        let refused = read(&settings);
+        if line == 0 {
+            assert!(refused.is_ok(), "a name may be the proxy's own more than once");
+            continue;
+        }
+        let refused = refused.unwrap_err();
+        assert!(
+            refused.contains(&format!("dewpier.toml:{line}:")) && refused.contains(expected),
+            "{refused}"
+        );
+    }
+    let _ = std::fs::remove_dir_all(folder);
+}
--- a/crates/dewpier/src/feed.rs
+++ b/crates/dewpier/src/feed.rs
@@ -1,6 +1,7 @@
 //! Lists on their way to an engine, for as long as a front runs: which protocol that speaks is nothing to them.
 
 use crate::error::ServeError;
+use crate::fleet::Fleet;
 use crate::lists::Lists;
 use crate::lists::resolve::Resolved;
 use crate::members::Members;
@@ -25,6 +26,8 @@
     lists: Lists,
     members: Members,
     first: Resolved,
+    /// Who is told of every list, if anybody.
+    fleet: Option<Rc<Fleet>>,
 }
 
 impl Feed {
@@ -32,7 +35,7 @@
     /// and ends.
     pub async fn first(mut lists: Lists, zones: Vec<String>) -> Result<Self, ServeError> {
         let first = lists.first().await?;
-        Ok(Self { lists, members: Members::new(zones), first })
+        Ok(Self { lists, members: Members::new(zones), first, fleet: None })
     }
 
     /// For how long its lists may be gone by.
@@ -40,10 +43,16 @@
         self.lists.lease()
     }
 
+    /// From now on the fleet is told of every list.
+    pub fn tells(&mut self, fleet: Rc<Fleet>) {
+        self.fleet = Some(fleet);
+    }
+
     /// Hands the first list to an engine.
     pub fn begin<U: Upstream>(&mut self, engine: &Engine<U>) {
         let first = std::mem::take(&mut self.first);
         let news = self.members.news(&pairs(&first), &self.lists.ages(), engine.clock().now());
+        self.fleet.iter().for_each(|fleet| fleet.list(self.members.nodes()));
         engine.news(match news {
             News::Full(list) => News::Remembered(list),
             other => other,
@@ -54,7 +63,7 @@
 
     /// Hands on what comes after it, for ever. `reload` has the source asked at once.
     pub async fn run<U: Upstream>(self, engine: Rc<Engine<U>>, reload: &Notify) {
-        let Self { mut lists, mut members, .. } = self;
+        let Self { mut lists, mut members, fleet, .. } = self;
         let (mut budgets, digests) = lists.planners().unzip();
         let mut digest = tokio::time::interval(DIGEST_EVERY);
         digest.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
@@ -63,7 +72,9 @@
             tokio::select! {
                 news = lists.next() => match news {
                     Ok(list) => {
-                        engine.news(members.news(&pairs(&list), &lists.ages(), engine.clock().now()));
+                        let news = members.news(&pairs(&list), &lists.ages(), engine.clock().now());
+                        fleet.iter().for_each(|fleet| fleet.list(members.nodes()));
+                        engine.news(news);
                         lists.taken();
                         members.forget(|id| engine.knows(id));
                         eprintln!("dewpier: {}", summary(&list, lists.from()));
--- a/crates/dewpier/src/lib.rs
+++ b/crates/dewpier/src/lib.rs
@@ -10,6 +10,8 @@
 pub mod config;
 pub mod error;
 mod feed;
+mod fleet;
+mod kept;
 pub mod lists;
 pub mod members;
 mod mysql;
--- a/crates/dewpier/src/members.rs
+++ b/crates/dewpier/src/members.rs
@@ -1,7 +1,9 @@
 //! Inventories as news of the list: which nodes are new, which return, which go. No I/O.
 
+use crate::fleet::Node;
 use dewpier_http::listing::{self, Names};
 use dewpier_inventory::{Backend, State};
+use dewpier_verdicts::NodeId;
 use gannetproxy::engine::{Listed, News};
 use gannetproxy::{Entry, Status, Time};
 use std::collections::HashMap;
@@ -92,6 +94,18 @@
         News::Changes(changed)
     }
 
+    /// The nodes, as a fleet knows them.
+    pub(crate) fn nodes(&self) -> Vec<Node> {
+        let node = |(name, member): (&String, &Member)| Node {
+            backend: member.entry.id,
+            name: name.clone(),
+            id: NodeId::of(name, &member.address.to_string()),
+            cell: member.entry.cell,
+            serving: member.serving,
+        };
+        self.members.iter().map(node).collect()
+    }
+
     /// The names of nodes by their numbers.
     pub fn names(&self) -> HashMap<gannetproxy::BackendId, &str> {
         self.members.iter().map(|(name, member)| (member.entry.id, name.as_str())).collect()
--- a/crates/dewpier/src/run.rs
+++ b/crates/dewpier/src/run.rs
@@ -4,6 +4,7 @@
 use crate::config::{Config, ListFrom};
 use crate::error::ServeError;
 use crate::feed::{Feed, seed};
+use crate::fleet::Fleet;
 use crate::lists::Lists;
 use crate::mysql::Served;
 use dewpier_http::backend::{Answers, Http, Reuse};
@@ -45,7 +46,8 @@
     reload: &Notify,
     stop: impl Future<Output = ()>,
 ) -> Result<(), ServeError> {
-    let Config { listen, operator, descriptors, memory, source, settings, wire, routes, mysql } = config;
+    let Config { listen, operator, descriptors, memory, source, settings, wire, routes, mysql, zone, fleet } =
+        config;
     let lists = match source {
         ListFrom::Inventory(inventory) => Lists::of_inventory(inventory)?,
         ListFrom::Planners(planners) => Lists::of_planners(*planners)?,
@@ -70,6 +72,15 @@
         eprintln!("dewpier: operators call at {}", operators.local_addr()?);
     }
     let engine = Engine::leased(settings.clone(), wire.bounds(), seed(), upstream, feed.lease());
+    let fleet = fleet.map(|told| Fleet::start(told, &zone, wire.classes.clone()));
+    let datagrams = match &fleet {
+        Some(fleet) => Some(fleet.bind().await?),
+        None => None,
+    };
+    if let Some(fleet) = &fleet {
+        fleet.watch(&engine);
+        feed.tells(fleet.clone());
+    }
     feed.begin(&engine);
     let mysql = match mysql {
         Some(mysql) => Some(Served::start(mysql).await?),
@@ -77,10 +88,14 @@
     };
     ready(address);
     let server = Server::new(engine.clone(), settings, wire, Dialect::Plain(routes), caps, figures);
-    let asked = server.clone();
+    let (asked, of_fleet) = (server.clone(), fleet.clone());
+    let answer = move |call| match &of_fleet {
+        Some(fleet) => fleet.operate(call, |call| asked.operate(call)),
+        None => asked.operate(call),
+    };
     let operating = async move {
         match operators {
-            Some(listener) => operators::serve(listener, Rc::new(move |call| asked.operate(call))).await,
+            Some(listener) => operators::serve(listener, Rc::new(answer)).await,
             None => std::future::pending().await,
         }
     };
@@ -115,8 +130,18 @@
         stopping.send_replace(true);
         std::future::pending::<()>().await;
     };
+    let talking = {
+        let engine = engine.clone();
+        async move {
+            match fleet.zip(datagrams) {
+                Some((fleet, socket)) => fleet.run(socket, engine).await,
+                None => std::future::pending().await,
+            }
+        }
+    };
     tokio::select! {
         _ = serving => {}
+        ended = talking => return ended,
         () = feed.run(engine, &listed) => {}
         () = signals => {}
         () = operating => {}
--- a/crates/dewpier/tests/kept.rs
+++ b/crates/dewpier/tests/kept.rs
@@ -2,12 +2,9 @@
 //! lost, safe requests are served while one backend works, and orders fail only until it is learnt that
 //! kept connections swallow them.
 
-#[path = "common/served.rs"]
-mod served;
-
 use dewpier_standins::faulty::{FAULTS, Fault, Faulty};
 use dewpier_standins::shop::{Accounts, play, twice};
-use served::Served;
+use dewpier_trials::served::Served;
 use std::time::Duration;
 
 const CLASSES: &str = "[[class]]\nname = \"quote\"\neffect = \"safe\"\naim_ms = 5000\ndeadline_ms = 20000\nmatch = [{ methods = [\"GET\"] }]\n\
--- a/crates/dewpier/tests/mysql.rs
+++ b/crates/dewpier/tests/mysql.rs
@@ -1,13 +1,10 @@
 //! `dewpier serve` with a front for MySQL clients, from outside: a real client library, stand-in servers, an
 //! inventory that is rewritten, and the stop.
 
-#[path = "common/served.rs"]
-mod served;
-
 use dewpier_standins::mysql::{Asked, MySqlServer, Reply};
 use dewpier_standins::wait_for;
+use dewpier_trials::served::*;
 use mysql::prelude::Queryable;
-use served::*;
 use std::io::Write;
 use std::net::SocketAddr;
 use std::path::Path;
--- a/crates/dewpier/tests/operate.rs
+++ b/crates/dewpier/tests/operate.rs
@@ -221,3 +221,39 @@
     child.kill().unwrap();
     child.wait().unwrap();
 }
+
+/// The platform's program tells other proxies nothing, whatever its settings allow: it opens no socket for datagrams, and
+/// keeps nothing on a disk.
+#[test]
+fn the_platforms_program_belongs_to_no_fleet() {
+    let backend = Played::good("a");
+    let mut config = config_of(&settings(), &known(&[&backend]));
+    config["operator"] = json!("127.0.0.1:0");
+    config["peers"] = json!(["127.0.0.1:9"]);
+    config["peer_listen"] = json!("127.0.0.1:0");
+    let kept = std::env::temp_dir().join(format!("dewpier-known-{}", std::process::id()));
+    config["fleet"] = json!({"name": "p", "snapshot_file": kept.display().to_string()});
+    let started = Instant::now();
+    let proxy = Proxy::with(&config, quiet().address);
+    assert_eq!(proxy.ask("GET /-/ready HTTP/1.1\r\nHost: p\r\n\r\n").status(), 200);
+    let mut stream = TcpStream::connect(proxy.operator.unwrap()).unwrap();
+    stream.write_all(b"verdicts\n").unwrap();
+    let mut told = String::new();
+    stream.read_to_string(&mut told).unwrap();
+    assert!(told.starts_with("NO it belongs to no fleet"), "{told}");
+    let files = std::fs::read_dir(format!("/proc/{}/fd", proxy.child.id())).unwrap();
+    let open: Vec<String> = files
+        .filter_map(|file| Some(std::fs::read_link(file.ok()?.path()).ok()?.display().to_string()))
+        .collect();
+    assert!(open.iter().any(|file| file.starts_with("socket:")), "{open:?}");
+    for table in ["udp", "udp6"] {
+        let Ok(text) = std::fs::read_to_string(format!("/proc/net/{table}")) else { continue };
+        let inodes = text.lines().skip(1).filter_map(|line| line.split_whitespace().nth(9));
+        for inode in inodes {
+            assert!(!open.contains(&format!("socket:[{inode}]")), "it has a socket for datagrams");
+        }
+    }
+    // A process of a fleet keeps what it knows each second.
+    std::thread::sleep(Duration::from_millis(2500).saturating_sub(started.elapsed()));
+    assert!(!kept.exists(), "{}", kept.display());
+}
--- a/crates/dewpier/tests/plan.rs
+++ b/crates/dewpier/tests/plan.rs
@@ -1,13 +1,10 @@
 //! Forwarders that go by a planner's plan, over real sockets: nodes drain, the planner is killed
 //! and comes back, all under load.
 
-#[path = "common/served.rs"]
-mod served;
-
 use dewpier_standins::backend::Backend;
 use dewpier_standins::load::{Load, Tally};
-use dewpier_standins::wait_for;
-use served::*;
+use dewpier_standins::{own_addresses, wait_for};
+use dewpier_trials::served::*;
 use std::collections::HashMap;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
@@ -41,7 +38,7 @@
             .map(|l| if drained(l) { l.replace("serving", "draining") } else { l.into() } + "\n")
             .collect()
     };
-    let mut planner = Served::planner("127.0.0.1:0", &file);
+    let mut planner = Served::planner(&own_addresses(1)[0].to_string(), &file);
     let address = planner.address;
     let forwarders = [Served::forwarder("f0", &[address]), Served::forwarder("f1", &[address])];
     let loads = [load(forwarders[0].address, "f0"), load(forwarders[1].address, "f1")];
--- a/crates/dewpier/tests/planners.rs
+++ b/crates/dewpier/tests/planners.rs
@@ -1,25 +1,16 @@
 //! Three planners that agree, and forwarders that follow them, over real sockets: planners are killed one
 //! by one and all at once while nodes drain, under load.
 
-#[path = "common/served.rs"]
-mod served;
-
 use dewpier_standins::backend::Backend;
 use dewpier_standins::load::{Load, Tally};
 use dewpier_standins::relay::Relay;
-use dewpier_standins::wait_for;
-use served::*;
+use dewpier_standins::{own_addresses, wait_for};
+use dewpier_trials::served::*;
 use std::collections::HashMap;
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::path::Path;
 use std::time::{Duration, Instant};
 
-/// Addresses that nothing listens on.
-fn free(count: usize) -> Vec<SocketAddr> {
-    let held: Vec<TcpListener> = (0..count).map(|_| TcpListener::bind("127.0.0.1:0").unwrap()).collect();
-    held.iter().map(|l| l.local_addr().unwrap()).collect()
-}
-
 /// Where three planners are: for forwarders, and for each other.
 struct Places {
     listen: Vec<SocketAddr>,
@@ -28,7 +19,7 @@
 
 impl Places {
     fn new() -> Self {
-        let mut listen = free(6);
+        let mut listen = own_addresses(6);
         let talk = listen.split_off(3);
         Self { listen, talk }
     }
@@ -57,12 +48,6 @@
     orders(address, name, 2, Duration::from_millis(2))
 }
 
-/// The table with these draining.
-fn drained(good: &str, which: &[usize]) -> String {
-    let drains = |l: &str| which.iter().any(|i| l.starts_with(&format!("pricing-{i:02}")));
-    good.lines().map(|l| if drains(l) { l.replace("serving", "draining") } else { l.into() } + "\n").collect()
-}
-
 /// The plan that a planner logged last.
 fn plan(planner: &Served) -> Option<String> {
     planner.log().iter().rev().find_map(|l| l.split("plan ").nth(1).map(str::to_string))
--- a/crates/dewpier/tests/secured.rs
+++ b/crates/dewpier/tests/secured.rs
@@ -1,16 +1,13 @@
 //! Planners and forwarders that show each other certificates, and strangers who can't move traffic.
 
-#[path = "common/served.rs"]
-mod served;
-
 use dewpier_plan::io::{Files, Part, Planner, Security};
 use dewpier_plan::{Node, Plan, Version};
 use dewpier_standins::backend::Backend;
-use dewpier_standins::{LONG, wait_for};
+use dewpier_standins::{LONG, own_addresses, wait_for};
+use dewpier_trials::served::*;
 use rcgen::{BasicConstraints, CertificateParams, IsCa, Issuer, KeyPair};
-use served::*;
 use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpStream};
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
@@ -62,10 +59,6 @@
     }
 }
 
-fn free() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
-}
-
 fn planner(number: usize, talk: &[SocketAddr], authority: &Authority, file: &Path) -> Served {
     let talk: Vec<String> = talk.iter().map(|a| format!("\"{a}\"")).collect();
     let settings = format!(
@@ -100,7 +93,7 @@
     let good = table(&backends);
     std::fs::write(&file, &good).unwrap();
     let (ours, theirs) = (Authority::new("ours"), Authority::new("theirs"));
-    let talk = [free(), free(), free()];
+    let talk = own_addresses(3);
     let planners: Vec<Served> = (0..3).map(|n| planner(n, &talk, &ours, &file)).collect();
     let addresses: Vec<SocketAddr> = planners.iter().map(|p| p.address).collect();
     let settings = ours.settings("planners.tls", "forwarder");
--- a/crates/dewpier/tests/serve.rs
+++ b/crates/dewpier/tests/serve.rs
@@ -1,15 +1,12 @@
 //! `dewpier serve` from outside: plain clients, and an inventory that is rewritten under load.
 
-#[path = "common/served.rs"]
-mod served;
-
 use dewpier_standins::backend::Backend;
 use dewpier_standins::load::{Load, Tally};
 use dewpier_standins::message::{answer, ask, read_head};
 use dewpier_standins::played::{Play, Played};
 use dewpier_standins::rng::Rng;
 use dewpier_standins::wait_for;
-use served::*;
+use dewpier_trials::served::*;
 use std::collections::HashMap;
 use std::io::Write;
 use std::process::Command;
--- a/crates/dewpier/tests/stopping.rs
+++ b/crates/dewpier/tests/stopping.rs
@@ -1,13 +1,10 @@
 //! A rolling restart where two proxies are all there is: one stops while the other has just begun, and the front
 //! does not deal to that one yet. No request is without an answer, and no order runs twice.
 
-#[path = "common/served.rs"]
-mod served;
-
 use dewpier_standins::faulty::Faulty;
 use dewpier_standins::relay::Relay;
 use dewpier_standins::shop::{play, twice};
-use served::Served;
+use dewpier_trials::served::Served;
 use std::time::{Duration, Instant};
 
 const CLIENTS: usize = 8;
--- /dev/null
+++ b/crates/dewpier/tests/trials.rs
@@ -0,0 +1,79 @@
+//! Twelve processes of the program under faults that are drawn from a seed: the short form. The long one is
+//! `cargo run --release --example trials`.
+
+use dewpier_trials::campaign;
+use dewpier_trials::checks::{Rule, avoided, check};
+use dewpier_trials::schedule::{Ends, Fault, Node, Schedule, Size, Step};
+use dewpier_trials::stage::{Settings, Stage};
+
+/// Seeds that are played; others by the environment variable `TRIALS_SEED`, one.
+const SEEDS: [u64; 1] = [1];
+
+#[test]
+fn no_rule_and_no_bound_is_broken_under_faults() {
+    let size = Size { proxies: 12, nodes: 8, length_ms: 16_000, apart_ms: 8000 };
+    let one = std::env::var("TRIALS_SEED").ok().and_then(|text| text.parse().ok());
+    let seeds = one.map_or(SEEDS.to_vec(), |seed| vec![seed]);
+    for seed in seeds {
+        assert!(campaign::seed(seed, size, Settings::default(), 0), "TRIALS_SEED={seed}");
+    }
+}
+
+/// Planners tell twelve forwarders what is listed. All planners are killed as a node begins to drain, one forwarder stands
+/// still from before that until after its lease, half of them hear no answers of two planners at first, a node fails all the
+/// while, and a planner is ended and started anew.
+#[test]
+fn forwarders_and_planners_keep_all_rules_and_bounds_under_faults() {
+    let size = Size { proxies: 12, nodes: 8, length_ms: 13_000, apart_ms: 8000 };
+    let step = |at_ms, for_ms, fault| Step { at_ms, for_ms, fault };
+    let half: Vec<usize> = (0..size.proxies).step_by(2).collect();
+    let cut = Fault::Streams { proxies: half, planners: Vec::new(), to: vec![0, 1], answers: true };
+    let steps = vec![
+        step(300, 1500, cut),
+        step(500, 9000, Fault::Node { node: 2, does: Node::Fails }),
+        step(2800, 3000, Fault::Still { proxy: 4 }),
+        step(3000, 6500, Fault::Drain { node: 5 }),
+        step(3060, 2000, Fault::AllPlanners),
+        step(7500, 1000, Fault::Planner { planner: 1, does: Ends::Ended }),
+    ];
+    let settings = Settings { planners: 3, snapshots: true, ..Settings::default() };
+    let outcome = campaign::play(&Schedule { seed: 9, size, planners: 3, steps }, settings);
+    println!("{outcome:?}");
+    assert!(outcome.broken.is_empty(), "{:?}", outcome.broken);
+    assert_eq!(outcome.drains, size.proxies, "each was bound by the drain");
+    assert!(outcome.avoided + outcome.early >= size.proxies / 2, "verdicts go on beside planners");
+}
+
+/// Forwarders hear no planner, and what they watch themselves tells of no drain: the checker has to find what comes of it.
+#[test]
+fn the_bound_on_drains_is_broken_where_nothing_tells_of_one() {
+    let size = Size { proxies: 6, nodes: 8, length_ms: 9000, apart_ms: 8000 };
+    let cut = |at_ms, for_ms| {
+        let all = (0..size.proxies).collect();
+        let fault = Fault::Streams { proxies: all, planners: Vec::new(), to: vec![0, 1, 2], answers: true };
+        Step { at_ms, for_ms, fault }
+    };
+    let drain = Step { at_ms: 3000, for_ms: 5000, fault: Fault::Drain { node: 5 } };
+    let settings = Settings { planners: 3, blind: true, ..Settings::default() };
+    let schedule = Schedule { seed: 9, size, planners: 3, steps: vec![cut(500, 8400), drain] };
+    let rules: Vec<Rule> = campaign::play(&schedule, settings).broken.iter().map(|b| b.rule).collect();
+    assert!(rules.contains(&Rule::Drain) && rules.iter().all(|r| *r == Rule::Drain), "{rules:?}");
+}
+
+/// Nobody hears anybody, and the checker is not told: it has to find that the bound is not kept.
+#[test]
+fn the_bound_on_avoidance_is_broken_without_talk() {
+    let size = Size { proxies: 12, nodes: 8, length_ms: 12_000, apart_ms: 8000 };
+    let all: Vec<usize> = (0..size.proxies).collect();
+    let cut = Fault::Talk { from: all.clone(), to: all, lost: 1000, doubled: 0, delay_ms: 0 };
+    let node = Step { at_ms: 1000, for_ms: 11_000, fault: Fault::Node { node: 2, does: Node::Fails } };
+    let told = Schedule { seed: 1, size, planners: 0, steps: vec![node.clone()] };
+    let steps = vec![Step { at_ms: 0, for_ms: size.length_ms, fault: cut }, node];
+    let stage = Stage::start(1, size, Settings::default());
+    let (record, played) = stage.play(&Schedule { steps, ..told.clone() });
+    let late =
+        |schedule| check(&record, schedule, &stage.bounds()).iter().filter(|b| b.rule == Rule::Late).count();
+    assert_eq!(late(&played), 0, "who hears nobody is promised nothing");
+    assert!(avoided(&record, &told, &stage.bounds()).checked > 0);
+    assert!(late(&told) > 0, "the bound holds without what keeps it");
+}
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -220,6 +220,7 @@
                 let (listed, avoided) = self.engine.members();
                 calls::vars(&self.figures, Members { listed, avoided })
             }
+            Call::Verdicts | Call::VerdictsJson | Call::Rule { .. } => "NO it belongs to no fleet\n".into(),
             Call::DrainOn => {
                 life.drain_on(self.now());
                 "YES drains\n".into()
--- a/crates/operate/src/calls.rs
+++ b/crates/operate/src/calls.rs
@@ -5,13 +5,24 @@
 
 /// What each figure's name begins with.
 const PREFIX: &str = "edge_relay";
-/// The longest line that is a call, in bytes, its end not counted.
-pub const MOST_LINE: usize = 64;
+/// The longest line that is a call, in bytes, its end not counted: one that names a node.
+pub const MOST_LINE: usize = 160;
 /// As much of an unknown call is shown again.
 const SHOWN: usize = 32;
 
-/// What an operator asks.
+/// What an operator says of a node.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Says {
+    /// Keep it out for so many seconds.
+    Avoid(u64),
+    /// Have no verdict keep it out for so many seconds.
+    Trust(u64),
+    /// Go by what is seen again.
+    AsSeen,
+}
+
+/// What an operator asks.
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Call {
     /// Does this process take clients?
     Check,
@@ -21,32 +32,66 @@
     DrainOn,
     /// Take clients again.
     DrainOff,
+    /// What the fleet holds of nodes.
+    Verdicts,
+    /// The same as JSON.
+    VerdictsJson,
+    /// What is to hold of a node in the whole fleet.
+    Rule {
+        /// Its name in the list.
+        node: String,
+        /// What.
+        says: Says,
+    },
 }
 
+/// Calls about a node, as their lines are written.
+const RULES: &str = "avoid SECONDS NODE, trust SECONDS NODE, as-seen NODE";
+
 /// The calls by their names.
-const CALLS: [(&str, Call); 4] = [
+const CALLS: [(&str, Call); 6] = [
     ("check", Call::Check),
     ("vars", Call::Vars),
     ("drain-on", Call::DrainOn),
     ("drain-off", Call::DrainOff),
+    ("verdicts", Call::Verdicts),
+    ("verdicts-json", Call::VerdictsJson),
 ];
 
 impl Call {
     /// Reads a line, its end left off. What is no call is answered with what is given here.
     pub fn read(line: &[u8]) -> Result<Self, String> {
-        let names = || CALLS.map(|(name, _)| name).join(", ");
+        let names = || format!("{}, {RULES}", CALLS.map(|(name, _)| name).join(", "));
         if line.len() > MOST_LINE {
             return Err(format!("NO line too long: expected {}, got more than {MOST_LINE} bytes\n", names()));
         }
         let text = line.trim_ascii();
         let found = CALLS.iter().find(|(name, _)| name.as_bytes() == text);
-        found.map(|(_, call)| *call).ok_or_else(|| {
+        found.map(|(_, call)| call.clone()).or_else(|| rule(text)).ok_or_else(|| {
             let got = text[..text.len().min(SHOWN)].escape_ascii();
             format!("NO unknown call: expected {}, got '{got}'\n", names())
         })
     }
 }
 
+/// A call about a node. The node's name comes last, as it may have spaces in it.
+fn rule(text: &[u8]) -> Option<Call> {
+    let text = std::str::from_utf8(text).ok()?;
+    let (name, rest) = text.split_once(' ')?;
+    let timed = || {
+        let (seconds, node) = rest.trim_start().split_once(' ')?;
+        Some((seconds.parse().ok()?, node))
+    };
+    let (says, node) = match name {
+        "avoid" => timed().map(|(seconds, node)| (Says::Avoid(seconds), node))?,
+        "trust" => timed().map(|(seconds, node)| (Says::Trust(seconds), node))?,
+        "as-seen" => (Says::AsSeen, rest),
+        _ => return None,
+    };
+    let node = node.trim().to_string();
+    (!node.is_empty()).then_some(Call::Rule { node, says })
+}
+
 /// The figures as text, a line each, and a line that ends them.
 pub fn vars(figures: &Figures, members: Members) -> String {
     let mut text = String::new();
@@ -73,13 +118,32 @@
     #[test]
     fn calls_are_read_and_all_else_is_told_what_was_expected() {
         for (name, call) in CALLS {
-            assert_eq!(Call::read(name.as_bytes()), Ok(call));
+            assert_eq!(Call::read(name.as_bytes()), Ok(call.clone()));
             assert_eq!(Call::read(format!("{name} \r").as_bytes()), Ok(call));
         }
-        for line in [&b""[..], b"drain", b"CHECK", b"vars vars", b"\xff\x00\n", &[b'a'; 65]] {
+        for line in [&b""[..], b"drain", b"CHECK", b"vars vars", b"\xff\x00\n", &[b'a'; 161]] {
             let no = Call::read(line).unwrap_err();
             assert!(no.starts_with("NO ") && no.contains("check, vars, drain-on, drain-off"), "{no}");
-            assert!(no.is_ascii() && no.len() < 250 && no.matches('\n').count() == 1, "{no}");
+            assert!(no.is_ascii() && no.len() < 300 && no.matches('\n').count() == 1, "{no}");
+        }
+    }
+
+    #[test]
+    fn what_is_said_of_a_node_is_read() {
+        let rule = |node: &str, says| Ok(Call::Rule { node: node.into(), says });
+        assert_eq!(Call::read(b"avoid 600 pricing-02"), rule("pricing-02", Says::Avoid(600)));
+        assert_eq!(Call::read("trust 5 түйін бір \r".as_bytes()), rule("түйін бір", Says::Trust(5)));
+        assert_eq!(Call::read(b"as-seen 7"), rule("7", Says::AsSeen));
+        for line in [
+            "avoid",
+            "avoid 5",
+            "avoid 5 ",
+            "avoid x node",
+            "trust -1 node",
+            "as-seen ",
+            "avoid 99999999999999999999 n",
+        ] {
+            assert!(Call::read(line.as_bytes()).is_err(), "{line}");
         }
     }
 
--- a/crates/standins/src/backend.rs
+++ b/crates/standins/src/backend.rs
@@ -1,5 +1,6 @@
 //! Backends that take their time, die, come back, and remember what reached them and when.
 
+use crate::faulty::reset;
 use crate::message::{Message, answer, read};
 use crate::wait_for;
 use std::collections::HashMap;
@@ -18,8 +19,31 @@
     pub method: String,
     /// Its header `X-Order`, by which tests name what must not run twice.
     pub order: Option<String>,
+    /// It was not answered as usual: by the node's fault, or that of the way.
+    pub bad: bool,
 }
 
+/// What becomes of requests on the way from one caller, and of their answers. Callers are told apart by what comes
+/// before the first `-` in `X-Order`.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Path {
+    /// Requests wait until the way is mended.
+    Held,
+    /// Answers wait until the way is mended.
+    Unanswered,
+    /// The connection is reset before a request has run.
+    ResetBefore,
+    /// It is reset once the request has run.
+    ResetAfter,
+    /// Answers come byte by byte, each after so many milliseconds.
+    Trickles(u64),
+}
+
+/// An answer that takes so many times what is usual is a bad one.
+const BAD_TIMES: u64 = 4;
+/// How often a way that is held looks whether it is mended.
+const LOOK: Duration = Duration::from_millis(5);
+
 /// Arrivals that are remembered; later ones are only counted.
 const MOST_REMEMBERED: usize = 200_000;
 
@@ -28,7 +52,12 @@
     alive: AtomicBool,
     /// How long an answer takes, in microseconds.
     work: AtomicU64,
+    /// How long it takes as long as nothing is wrong.
+    usual: AtomicU64,
     failing: AtomicBool,
+    /// Each of so many fails; 0 for none.
+    one_in: AtomicUsize,
+    paths: Mutex<HashMap<String, Path>>,
     count: AtomicUsize,
     arrivals: Mutex<Vec<Arrival>>,
     /// A copy of each open connection, by its number.
@@ -56,6 +85,7 @@
         let address = listener.local_addr().expect("an address");
         let backend = Self { address, name: name.into(), shared: Arc::default() };
         backend.slow(work);
+        backend.shared.usual.store(work.as_micros() as u64, Ordering::SeqCst);
         backend.listen(listener);
         backend
     }
@@ -91,6 +121,20 @@
         self.shared.failing.store(failing, Ordering::SeqCst);
     }
 
+    /// From now on every so manieth request is answered 500; 0 for none.
+    pub fn fail_one_in(&self, count: usize) {
+        self.shared.one_in.store(count, Ordering::SeqCst);
+    }
+
+    /// From now on the way from that caller is like this, or well.
+    pub fn path(&self, caller: &str, path: Option<Path>) {
+        let mut paths = lock(&self.shared.paths);
+        match path {
+            Some(path) => drop(paths.insert(caller.into(), path)),
+            None => drop(paths.remove(caller)),
+        }
+    }
+
     /// Dies: its connections break, and new ones are refused.
     pub fn kill(&self) {
         if self.shared.alive.swap(false, Ordering::SeqCst) {
@@ -141,26 +185,61 @@
     Some((at, read(stream)?))
 }
 
+impl Shared {
+    fn path(&self, caller: &str) -> Option<Path> {
+        lock(&self.paths).get(caller).copied()
+    }
+
+    /// Waits until the way is another one than this.
+    fn wait(&self, caller: &str, path: Path) {
+        while self.path(caller) == Some(path) && self.alive.load(Ordering::SeqCst) {
+            std::thread::sleep(LOOK);
+        }
+    }
+}
+
 fn serve(stream: TcpStream, shared: &Shared, name: &str) {
     let _ = stream.set_nodelay(true);
     let mut stream = BufReader::new(stream);
     while let Some((at, message)) = next(&mut stream) {
-        shared.count.fetch_add(1, Ordering::SeqCst);
-        let method = message.first.split(' ').next().unwrap_or_default().to_string();
         let order = message.header("x-order").map(String::from);
+        let caller = order.as_deref().and_then(|o| o.split('-').next()).unwrap_or_default().to_string();
+        let path = shared.path(&caller);
+        match path {
+            Some(Path::Held) => shared.wait(&caller, Path::Held),
+            Some(Path::ResetBefore) => return reset(stream.get_ref()),
+            _ => {}
+        }
+        let count = shared.count.fetch_add(1, Ordering::SeqCst) + 1;
+        let one_in = shared.one_in.load(Ordering::SeqCst);
+        let failing = shared.failing.load(Ordering::SeqCst) || one_in > 0 && count.is_multiple_of(one_in);
+        let work = shared.work.load(Ordering::SeqCst);
+        let late = work > BAD_TIMES * shared.usual.load(Ordering::SeqCst).max(1);
+        let method = message.first.split(' ').next().unwrap_or_default().to_string();
         {
             let mut arrivals = lock(&shared.arrivals);
             if arrivals.len() < MOST_REMEMBERED {
-                arrivals.push(Arrival { at, method, order });
+                arrivals.push(Arrival { at, method, order, bad: failing || late || path.is_some() });
             }
         }
-        let work = Duration::from_micros(shared.work.load(Ordering::SeqCst));
-        if !work.is_zero() {
-            std::thread::sleep(work);
+        if work > 0 {
+            std::thread::sleep(Duration::from_micros(work));
+        }
+        match path {
+            Some(Path::Unanswered) => shared.wait(&caller, Path::Unanswered),
+            Some(Path::ResetAfter) => return reset(stream.get_ref()),
+            _ => {}
         }
-        let failing = shared.failing.load(Ordering::SeqCst);
         let status = if failing { "500 Internal Server Error" } else { "200 OK" };
-        if stream.get_mut().write_all(answer(status, name).as_bytes()).is_err() {
+        let text = answer(status, name);
+        let said = match path {
+            Some(Path::Trickles(each)) => text.bytes().try_for_each(|byte| {
+                std::thread::sleep(Duration::from_millis(each));
+                stream.get_mut().write_all(&[byte])
+            }),
+            _ => stream.get_mut().write_all(text.as_bytes()),
+        };
+        if said.is_err() {
             return;
         }
     }
--- a/crates/standins/src/faulty.rs
+++ b/crates/standins/src/faulty.rs
@@ -158,7 +158,7 @@
 }
 
 /// Ends a connection so that its other side sees a reset.
-fn reset(stream: &TcpStream) {
+pub(crate) fn reset(stream: &TcpStream) {
     let _ = SockRef::from(stream).set_linger(Some(Duration::ZERO));
 }
 
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod bulk;
 pub mod faulty;
 pub mod load;
+pub mod mesh;
 pub mod message;
 pub mod mysql;
 pub mod played;
@@ -16,12 +17,27 @@
 pub mod shop;
 pub mod spoiler;
 
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::mpsc::Receiver;
 use std::time::{Duration, Instant};
 
 /// Far beyond what any step takes, on a busy machine too.
 pub const LONG: Duration = Duration::from_secs(30);
 
+/// Addresses that nobody else takes while this process runs: a loopback address of its own, as a port that was free a
+/// moment ago may be given to anybody who asks for one.
+pub fn own_addresses(count: u16) -> Vec<SocketAddr> {
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    const FIRST_PORT: u16 = 7200;
+    let pid = std::process::id();
+    let number = NEXT.fetch_add(1, Ordering::SeqCst);
+    // 127.64.0.1 to 127.127.255.254; tests of one process share the number of the process.
+    let parts = [64 + (pid >> 8 & 63), pid & 255, 1 + number % 254];
+    let [a, b, c] = parts.map(|part| part as u8);
+    (0..count).map(|i| SocketAddr::from(([127, a, b, c], FIRST_PORT + i))).collect()
+}
+
 /// Waits until something is seen. Panics, naming it, if it is not within [`LONG`].
 #[track_caller]
 pub fn wait_for(what: &str, mut seen: impl FnMut() -> bool) {
--- a/crates/dewpier/tests/common/served.rs
+++ b/crates/trials/src/served.rs
@@ -1,6 +1,4 @@
-//! The program as `dewpier serve` starts it, with an inventory that the test rewrites.
-
-#![allow(dead_code)] // not every test needs all of it
+//! The program as its commands start it, with an inventory that the test rewrites.
 
 use dewpier_standins::backend::Backend;
 use dewpier_standins::load::Load;
@@ -15,19 +13,29 @@
 
 static NEXT: AtomicUsize = AtomicUsize::new(0);
 
+/// Where a build puts the program: tests, examples and benchmarks lie in folders beside it.
+fn built() -> PathBuf {
+    let own = std::env::current_exe().expect("the path of this program");
+    own.parent().and_then(Path::parent).expect("a folder two levels up").into()
+}
+
 /// A folder of the test's own.
 pub fn folder(name: &str) -> PathBuf {
     let number = NEXT.fetch_add(1, Ordering::SeqCst);
-    let path = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("{name}-{}-{number}", std::process::id()));
+    let path = built().join("tmp").join(format!("{name}-{}-{number}", std::process::id()));
     std::fs::create_dir_all(&path).unwrap();
     path
 }
 
 /// The program, what it logs, and when.
 pub struct Served {
+    /// The process.
     pub child: Child,
+    /// Where it serves.
     pub address: SocketAddr,
+    /// Its inventory.
     pub file: PathBuf,
+    /// Its configuration.
     pub config: PathBuf,
     log: Arc<Mutex<Vec<(Instant, String)>>>,
 }
@@ -42,12 +50,19 @@
         Self::of(&file, settings)
     }
 
+    /// Serves this inventory, with these further settings.
     pub fn of(file: &Path, settings: &str) -> Self {
         let text =
             format!("listen = \"127.0.0.1:0\"\n[inventory]\nfile = \"{}\"\n{settings}\n", file.display());
         Self::run("serve", &text, file)
     }
 
+    /// The same with settings before all tables.
+    pub fn with(first: &str, file: &Path, settings: &str) -> Self {
+        let inventory = format!("[inventory]\nfile = \"{}\"\n", file.display());
+        Self::run("serve", &format!("listen = \"127.0.0.1:0\"\n{first}{inventory}{settings}\n"), file)
+    }
+
     /// A planner at that address, which watches that inventory.
     pub fn planner(listen: &str, file: &Path) -> Self {
         Self::planner_with(listen, file, "")
@@ -79,10 +94,15 @@
     fn run(command: &str, text: &str, file: &Path) -> Self {
         let config = folder("config").join("dewpier.toml");
         std::fs::write(&config, text).unwrap();
+        Self::again(command, &config, file)
+    }
+
+    /// A process by a configuration that is there.
+    pub fn again(command: &str, config: &Path, file: &Path) -> Self {
         // A port that was free may be some connection's own for a moment: it is tried again.
         let start = Instant::now();
         loop {
-            let served = Self::started(command, &config, file);
+            let served = Self::started(command, config, file);
             if served.address.port() != 0 {
                 return served;
             }
@@ -93,10 +113,10 @@
 
     /// Started once; without an address where that is in use.
     fn started(command: &str, config: &Path, file: &Path) -> Self {
-        let mut started = Command::new(env!("CARGO_BIN_EXE_dewpier"));
+        let mut started = Command::new(built().join("dewpier"));
         let mut child =
             started.arg(command).arg("--config").arg(config).stderr(Stdio::piped()).spawn().unwrap();
-        let log = Arc::new(Mutex::new(Vec::new()));
+        let log: Arc<Mutex<Vec<(Instant, String)>>> = Arc::default();
         let (lines, stderr) = (log.clone(), BufReader::new(child.stderr.take().unwrap()));
         std::thread::spawn(move || {
             for line in stderr.lines().map_while(Result::ok) {
@@ -129,6 +149,18 @@
         self.log.lock().unwrap().iter().map(|(_, line)| line.clone()).collect()
     }
 
+    /// When it has logged a line with these words, each time.
+    pub fn logged_at(&self, words: &str) -> Vec<Instant> {
+        let log = self.log.lock().unwrap();
+        log.iter().filter(|(_, line)| line.contains(words)).map(|(at, _)| *at).collect()
+    }
+
+    /// Lines with these words.
+    pub fn lines_with(&self, words: &str) -> Vec<String> {
+        let log = self.log.lock().unwrap();
+        log.iter().filter(|(_, line)| line.contains(words)).map(|(_, line)| line.clone()).collect()
+    }
+
     /// Waits for a line with these words among those from `from` on.
     #[track_caller]
     pub fn logged(&self, from: usize, words: &str) -> (Instant, String) {
@@ -143,12 +175,14 @@
         }
     }
 
+    /// A connection to it.
     pub fn connect(&self) -> BufReader<TcpStream> {
         let stream = TcpStream::connect(self.address).unwrap();
         stream.set_read_timeout(Some(LONG)).unwrap();
         BufReader::new(stream)
     }
 
+    /// Sends it a signal, such as `-STOP`.
     pub fn signal(&self, name: &str) {
         let id = self.child.id().to_string();
         assert!(Command::new("kill").args([name, &id]).status().unwrap().success());
@@ -182,6 +216,15 @@
         + &backends.iter().enumerate().map(row).collect::<String>()
 }
 
+/// A table in which these drain.
+pub fn drained(table: &str, which: &[usize]) -> String {
+    let drains = |l: &str| which.iter().any(|i| l.starts_with(&format!("pricing-{i:02}")));
+    table
+        .lines()
+        .map(|l| if drains(l) { l.replace("serving", "draining") } else { l.into() } + "\n")
+        .collect()
+}
+
 /// Replaces a file as careful tools do.
 pub fn replace(file: &Path, text: &[u8]) {
     let new = file.with_extension("new");
