A safe call that lost its connections goes on new ones, and again where all were tried

Cause: connections_that_swallow_what_comes_late_are_learnt failed now and then on a busy machine, one safe request of 80 refused after 11.8 s. Its first attempt and its copy 5 ms later both went on kept connections that their backends had forgotten; both were lost, and as each backend had been tried once there was none left to send to.

Change: an attempt after a lost kept connection goes on a new one; where all backends have been tried, one whose connection was lost (an outcome that says nothing of the backend, as an error does) is tried again. What must not run twice is as before.

--- a/crates/dewpier/tests/kept.rs
+++ b/crates/dewpier/tests/kept.rs
@@ -66,6 +66,23 @@
     assert!(accounts.orders.failed <= 16, "{accounts:?}");
 }
 
+#[test]
+fn what_one_kept_connection_lost_goes_on_a_new_one() {
+    let nodes = [sound(1), sound(2)];
+    // The resets come too late to tell them from those of a busy backend, so that nothing is learnt of them.
+    for node in &nodes {
+        node.swallows_after(Duration::from_millis(100));
+        node.swallows_for(Duration::from_millis(60));
+    }
+    let proxy = served(&nodes);
+    play(proxy.address, 16, 32, Duration::from_millis(10));
+    let kept = nodes.each_ref().map(Faulty::connected);
+    assert!(kept.iter().all(|kept| *kept > 1), "both nodes have kept connections: {kept:?}");
+    std::thread::sleep(Duration::from_millis(200));
+    let quote = play(proxy.address, 1, 1, Duration::ZERO);
+    assert_eq!(quote.safe.served, 1, "{quote:?}");
+}
+
 #[test]
 fn a_backend_that_resets_one_write_in_ten_fails_no_safe_request() {
     let nodes = [Faulty::start(1, 0.1, &[Fault::ResetBefore]), sound(2)];
--- a/crates/http/src/backend.rs
+++ b/crates/http/src/backend.rs
@@ -116,9 +116,9 @@
         self.odds.borrow_mut().used(&mut shared, self.reuse.now(), idle, spoilt);
     }
 
-    /// An idle connection that has settled and is worth it, the one used last, or a new one.
-    async fn peer(&self, stake: Stake) -> Option<Ready> {
-        loop {
+    /// An idle connection that has settled and is worth it, the one used last, or a new one; without a stake a new one.
+    async fn peer(&self, stake: Option<Stake>) -> Option<Ready> {
+        while let Some(stake) = stake {
             let mut idle = self.idle.borrow_mut();
             let settled = idle.iter().rposition(|i| i.since.elapsed() >= SETTLED);
             let Some(place) = settled else {
@@ -256,7 +256,9 @@
                 Some(passes) => passes,
                 None => None,
             };
-            let asks = Asks { answers, counts: Some(attempts), stake: payload.stake, passes, long: true };
+            let stake = (!payload.lost.get()).then_some(payload.stake);
+            let lost = Some(&payload.lost);
+            let asks = Asks { answers, counts: Some(attempts), stake, lost, passes, long: true };
             let request =
                 |progress: Option<&Progress>| payload.request(attempt.until - attempt.clock.now(), progress);
             let long = |served| attempt.begin.with(served);
@@ -281,7 +283,8 @@
             let asks = Asks {
                 answers: Answers::Platform,
                 counts: None,
-                stake: Stake::Wait,
+                stake: Some(Stake::Wait),
+                lost: None,
                 passes: None,
                 long: false,
             };
@@ -298,10 +301,13 @@
 }
 
 /// How an exchange goes.
-struct Asks {
+struct Asks<'a> {
     answers: Answers,
     counts: Option<Attempts>,
-    stake: Stake,
+    /// What is lost with a kept connection; none: it may not go on one.
+    stake: Option<Stake>,
+    /// Set where a kept connection loses it.
+    lost: Option<&'a Cell<bool>>,
     /// How far its body has come, where that is passed on, and how long the answer may take from its end on.
     passes: Option<(Progress, Duration)>,
     /// An answer of any length will do.
@@ -311,12 +317,12 @@
 async fn exchange<R>(
     endpoint: &Endpoint,
     attempt: &Attempt<R>,
-    asks: Asks,
+    asks: Asks<'_>,
     head_only: bool,
     request: impl Fn(Option<&Progress>) -> Option<Request<Outgoing>>,
     begin: impl Fn(Served) -> bool,
 ) -> Done<Served> {
-    let Asks { answers, counts, stake, passes, long } = asks;
+    let Asks { answers, counts, stake, lost, passes, long } = asks;
     let written = &attempt.written;
     let era = endpoint.era.get();
     let mut again = false;
@@ -361,6 +367,7 @@
             Err(Spoilt::Sent) => {
                 let soon = begun.elapsed() < HELD + SWALLOWED + 2 * endpoint.way.get();
                 endpoint.used(idle, soon && !peer.heard());
+                lost.filter(|_| !new).into_iter().for_each(|lost| lost.set(true));
                 return Done::without_answer(Outcome::Reset);
             }
         }
--- a/crates/http/src/payload.rs
+++ b/crates/http/src/payload.rs
@@ -8,7 +8,7 @@
 use hyper::body::Body;
 use hyper::header::{HeaderMap, HeaderValue, TRANSFER_ENCODING};
 use hyper::{Method, Uri};
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::time::Duration;
 
 /// The body of a request.
@@ -33,6 +33,9 @@
     pub body: Carried,
     /// What a connection loses that swallows it.
     pub stake: Stake,
+    /// A kept connection has lost an attempt of it. Those that other backends keep may be as old and lose the next one
+    /// as well, and where no backend is left then it can't be served: it goes on new ones from here on.
+    pub lost: Cell<bool>,
 }
 
 impl Payload {
--- a/crates/http/src/request.rs
+++ b/crates/http/src/request.rs
@@ -13,7 +13,7 @@
 use hyper::body::{Body, Incoming};
 use hyper::header::{CONTENT_LENGTH, HeaderMap};
 use hyper::{Method, StatusCode};
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
 use thiserror::Error;
@@ -154,7 +154,9 @@
         (Effect::Unsafe, _) | (_, Carried::Passed(..)) => Stake::Whole,
         (Effect::Safe | Effect::Keyed { .. }, _) => Stake::Wait,
     };
-    let payload = Payload { method: head.method, uri: head.uri, headers: onward(head.headers), body, stake };
+    let lost = Cell::new(false);
+    let headers = onward(head.headers);
+    let payload = Payload { method: head.method, uri: head.uri, headers, body, stake, lost };
     Ok(Asked { request, txn, payload, room })
 }
 
--- a/crates/standins/src/faulty.rs
+++ b/crates/standins/src/faulty.rs
@@ -60,6 +60,8 @@
     /// it is kept, and what comes on it is read and not answered.
     closes_after: AtomicU64,
     swallows_after: AtomicU64,
+    /// How long it then takes until the reset.
+    swallows_for: AtomicU64,
     rng: Mutex<Rng>,
     /// Requests that were read whole, and those that were not read.
     begun: AtomicUsize,
@@ -91,6 +93,7 @@
             faults: faults.to_vec(),
             closes_after: AtomicU64::new(0),
             swallows_after: AtomicU64::new(0),
+            swallows_for: AtomicU64::new(0),
             rng: Mutex::new(Rng::new(seed)),
             begun: AtomicUsize::new(0),
             unread: AtomicUsize::new(0),
@@ -126,6 +129,11 @@
         self.shared.swallows_after.store(idle.as_micros() as u64, Ordering::SeqCst);
     }
 
+    /// The reset comes so long after the request, as where the way is long or the machine busy.
+    pub fn swallows_for(&self, wait: Duration) {
+        self.shared.swallows_for.store(wait.as_micros() as u64, Ordering::SeqCst);
+    }
+
     /// How many attempts have reached it, read or not.
     pub fn attempts(&self) -> usize {
         self.shared.begun.load(Ordering::SeqCst) + self.shared.unread.load(Ordering::SeqCst)
@@ -179,6 +187,7 @@
         let swallows = after(&shared.swallows_after);
         if answered && !swallows.is_zero() && idle.elapsed() > swallows {
             let _ = read(&mut stream);
+            std::thread::sleep(after(&shared.swallows_for));
             shared.unread.fetch_add(1, Ordering::SeqCst);
             return reset(stream.get_ref());
         }
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -80,6 +80,37 @@
     }
 }
 
+#[test]
+fn a_safe_call_goes_again_where_a_connection_was_lost_once_all_have_been_tried() {
+    for seed in 0..50 {
+        let mut b = Bench::seeded(seed, safe(), &fleet(2));
+        // With history the timers are short, and several of them fire in time.
+        (100..150).for_each(|id| drop(b.served(id, 0.05)));
+        let mut tried = vec![sends(&b.request(1))[0].1];
+        b.end(1, 0, tried[0], Outcome::Reset, 0.0);
+        let timed = plain(b.run_to(b.now + 0.15));
+        tried.extend(sends(&timed).iter().map(|(_, to)| *to));
+        assert_eq!(
+            tried.iter().collect::<std::collections::BTreeSet<_>>().len(),
+            2,
+            "seed {seed}: the other first"
+        );
+        b.end(1, 1, tried[1], Outcome::Error, 0.0);
+        let again = sends(&plain(b.run_to(b.now + 0.8)));
+        // Only the one of the lost connection: an error is the backend's own word.
+        assert!(!again.is_empty(), "seed {seed}");
+        assert!(again.iter().all(|(_, to)| *to == tried[0]), "seed {seed}: {again:?}");
+    }
+}
+
+#[test]
+fn what_must_not_run_twice_goes_nowhere_again_after_a_lost_connection() {
+    let mut b = Bench::new(with(Effect::Unsafe), &fleet(2));
+    let to = sends(&b.request(1))[0].1;
+    b.end(1, 0, to, Outcome::Reset, 0.0);
+    assert_eq!(sends(&plain(b.run_to(2.0))), []);
+}
+
 #[test]
 fn no_copy_while_the_backend_answers_others() {
     // Guards against doubling the work of calls that are merely long.
