--- a/crates/dewpier/tests/proxy.rs
+++ b/crates/dewpier/tests/proxy.rs
@@ -217,6 +217,7 @@
             headers: [("host".parse().unwrap(), "app.svc".parse().unwrap())].into_iter().collect(),
             body: Carried::Whole("body".into()),
             stake: dewpier_reuse::Stake::Whole,
+            lost: Default::default(),
         };
         let attempted = http.attempt(http.endpoint(backend.address).into(), payload.into(), made);
         runtime.block_on(attempted).outcome
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -85,7 +85,9 @@
     for seed in 0..50 {
         let mut b = Bench::seeded(seed, safe(), &fleet(2));
         // With history the timers are short, and several of them fire in time.
-        (100..150).for_each(|id| drop(b.served(id, 0.05)));
+        for id in 100..150 {
+            b.served(id, 0.05);
+        }
         let mut tried = vec![sends(&b.request(1))[0].1];
         b.end(1, 0, tried[0], Outcome::Reset, 0.0);
         let timed = plain(b.run_to(b.now + 0.15));
