--- a/crates/dewpier/tests/growth.rs
+++ b/crates/dewpier/tests/growth.rs
@@ -45,6 +45,7 @@
             headers: [("host".parse().unwrap(), "app.svc".parse().unwrap())].into_iter().collect(),
             body: dewpier_http::payload::Carried::Whole("".into()),
             stake: dewpier_reuse::Stake::Whole,
+            lost: Default::default(),
         };
         let request = Request { budget: 20.0, ..Request::default() };
         let id = NEXT.fetch_add(1, Ordering::SeqCst) as u64;
