Planners carry sealed letters from forwarder to forwarder, and vouch for none of it (crates/plan)

Need: forwarders that can't reach each other by datagrams share no verdicts; planners' streams are there in any case.

A forwarder writes by way of one planner after the other.

--- a/crates/plan/benches/growth.rs
+++ b/crates/plan/benches/growth.rs
@@ -7,13 +7,16 @@
 //! them is an upper bound: there each has a machine of its own. Forwarders ask ten times and send a
 //! digest of 64 nodes once a second, as they do by default. Each row once with all nodes warm, once with
 //! 16 cold ones, which every digest is answered with a budget for, and once with forwarders that use 64
-//! nodes each. Never a verdict.
+//! nodes each, and once with letters: each forwarder writes 200 bytes to each of its partners (all others up to 17,
+//! 2 log2 n above) every 250 ms, all of it by this planner, where three would share it. Never a verdict.
 //!
 //! `cargo bench -p dewpier-plan --bench growth`, two minutes.
 
-use dewpier_plan::io::{Following, Planner, Security, Seen, follow};
+use dewpier_plan::io::{Following, Mail, Planner, Security, Seen, follow};
 use dewpier_plan::wire::{write_asked, write_told};
-use dewpier_plan::{Asked, Counts, Digest, Follower, MOST_COUNTED, Mark, Node, Plan, Slice, Told, Version};
+use dewpier_plan::{
+    Asked, Counts, Digest, Follower, Letter, MOST_COUNTED, Mark, Node, Plan, Slice, Told, Version,
+};
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -22,7 +25,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 use tokio::runtime::{Builder, Runtime};
-use tokio::sync::{oneshot, watch};
+use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::LocalSet;
 
 const BEAT: Duration = Duration::from_millis(100);
@@ -33,6 +36,9 @@
 /// Nodes of a part.
 const PART: usize = 64;
 const COLD: usize = 16;
+/// How often letters are written, and how long they are.
+const LETTERS: Duration = Duration::from_millis(250);
+const LETTER: usize = 200;
 /// Far beyond what any step takes.
 const LONG: Duration = Duration::from_secs(60);
 
@@ -98,6 +104,40 @@
     });
 }
 
+/// To whom a forwarder of so many writes.
+fn partners(me: usize, count: usize) -> Vec<u64> {
+    if count <= 17 {
+        return (0..count).filter(|other| *other != me).map(|other| other as u64).collect();
+    }
+    let distances = (0..).map(|i| 1usize << i).take_while(|d| *d <= count / 2);
+    let mut found: Vec<u64> = distances
+        .flat_map(|d| [(me + d) % count, (me + count - d) % count])
+        .map(|other| other as u64)
+        .collect();
+    found.sort_unstable();
+    found.dedup();
+    found
+}
+
+/// Writes letters, and takes those that come.
+fn mail(me: usize, count: usize) -> Mail {
+    let (rounds, out) = mpsc::channel(4);
+    let (into, mut came) = mpsc::channel(256);
+    tokio::task::spawn_local(async move {
+        let mut ticks = tokio::time::interval(LETTERS);
+        loop {
+            tokio::select! {
+                _ = ticks.tick() => {
+                    let letter = |to| Letter { to, bytes: vec![me as u8; LETTER] };
+                    let _ = rounds.try_send(partners(me, count).into_iter().map(letter).collect());
+                }
+                _ = came.recv() => {}
+            }
+        }
+    });
+    Mail { from: me as u64, out, into }
+}
+
 #[derive(Default)]
 struct Board {
     planned: AtomicUsize,
@@ -108,6 +148,7 @@
     count: usize,
     nodes: usize,
     part: Option<usize>,
+    letters: bool,
     planner: SocketAddr,
     board: Arc<Board>,
     over: oneshot::Receiver<()>,
@@ -147,7 +188,8 @@
             let follower = Rc::new(RefCell::new(Follower::of(
                 part.map(|part| Slice::new(&format!("f{forwarder}"), part)),
             )));
-            tokio::join!(follow(following, follower, heard, seen), sending);
+            let mail = letters.then(|| mail(forwarder, count));
+            tokio::join!(follow(following, follower, heard, mail, seen), sending);
         });
     }
     runtime().block_on(local.run_until(async {
@@ -165,13 +207,15 @@
 
 struct Row {
     core: f64,
+    /// Letters a second that were handed on, and dropped.
+    carried: [f64; 2],
     bytes: [f64; 2],
     /// First, middle and last, in seconds: a drain, and a plan.
     drain: [f64; 3],
     plan: [f64; 3],
 }
 
-fn played(forwarders: usize, nodes: usize, cold: usize, part: Option<usize>) -> Row {
+fn played(forwarders: usize, nodes: usize, cold: usize, part: Option<usize>, letters: bool) -> Row {
     let planner =
         Planner::new(Box::new(|| Duration::from_millis(400)), Duration::from_millis(400), 2 * forwarders);
     planner.publish(plan(nodes, cold));
@@ -184,16 +228,20 @@
     let board: Arc<Board> = Arc::default();
     let seen = board.clone();
     let following =
-        std::thread::spawn(move || forwarders_thread(forwarders, nodes, part, address, seen, ends));
+        std::thread::spawn(move || forwarders_thread(forwarders, nodes, part, letters, address, seen, ends));
     wait("plan at all forwarders", || board.planned.load(Ordering::SeqCst) == forwarders);
     let ran = || {
         let (tell, told): (_, Receiver<Duration>) = channel();
         questions.blocking_send(tell).expect("the planner runs");
         told.recv_timeout(LONG).expect("the planner answers")
     };
+    let before = planner.letters();
     let (from, start) = (ran(), Instant::now());
     std::thread::sleep(MEASURED);
     let core = (ran() - from).as_secs_f64() / start.elapsed().as_secs_f64();
+    let after = planner.letters();
+    let per_second = |from: u64, to: u64| (to - from) as f64 / start.elapsed().as_secs_f64();
+    let carried = [per_second(before.carried, after.carried), per_second(before.dropped, after.dropped)];
     let heard = |tell: &dyn Fn(u64)| {
         let mut sums = [0.0; 3];
         for number in 1..=TOLD as u64 {
@@ -236,6 +284,7 @@
     let all = forwarders as f64;
     Row {
         core,
+        carried,
         bytes: [all * (beats * answer + budgets), all * (beats * question + digests)],
         drain,
         plan: changed,
@@ -244,17 +293,21 @@
 
 fn main() {
     println!(
-        "forwarders nodes cold part | core of a planner | KB/s out, in | ms to the first, middle, last: drain | plan"
+        "forwarders nodes cold part | core of a planner | letters/s on, dropped | KB/s out, in but for letters | ms to the first, middle, last: drain | plan"
     );
-    for (cold, part) in [(0, None), (COLD, None), (0, Some(PART))] {
+    for (cold, part, letters) in
+        [(0, None, false), (COLD, None, false), (0, Some(PART), false), (0, Some(PART), true)]
+    {
         for forwarders in [10, 100, 1000] {
             for nodes in [100, 1000] {
-                let row = played(forwarders, nodes, cold, part);
+                let row = played(forwarders, nodes, cold, part, letters);
                 let millis = |times: [f64; 3]| times.map(|t| format!("{:>7.2}", t * 1000.0)).join(" ");
                 let [out, back] = row.bytes.map(|b| b / 1000.0);
                 let (core, part) = (row.core, part.unwrap_or(nodes));
                 println!(
-                    "{forwarders:>10} {nodes:>5} {cold:>4} {part:>4} | {core:>17.4} | {out:>7.1} {back:>7.1} | {} | {}",
+                    "{forwarders:>10} {nodes:>5} {cold:>4} {part:>4} | {core:>17.4} | {:>8.0} {:>6.0} | {out:>7.1} {back:>7.1} | {} | {}",
+                    row.carried[0],
+                    row.carried[1],
                     millis(row.drain),
                     millis(row.plan)
                 );
--- a/crates/plan/src/follower.rs
+++ b/crates/plan/src/follower.rs
@@ -211,6 +211,8 @@
                 let lease = self.lease(Duration::from_millis(lease_ms), Duration::from_millis(full_ms));
                 self.beat(planner, number, version, lease)
             }
+            // They are for whoever carries them.
+            Told::Letters(_) => Heard::Noted,
             Told::Budgets(budgets) => {
                 self.budgets.insert(planner, budgets);
                 Heard::Budgets
--- a/crates/plan/src/io/follow.rs
+++ b/crates/plan/src/io/follow.rs
@@ -3,7 +3,7 @@
 use super::frame;
 use super::security::{Part, Security};
 use crate::wire::{MOST_TOLD, WireError, read_told, write_asked};
-use crate::{Asked, Digest, Follower, Heard, Told};
+use crate::{Asked, Digest, Follower, Heard, Letter, MOST_LETTERS, Told, Turns};
 use std::cell::RefCell;
 use std::io;
 use std::net::SocketAddr;
@@ -47,14 +47,50 @@
     Budgets,
 }
 
+/// Letters of a forwarder: those that it writes, and where those go that come for it. What finds no room on the way is
+/// lost, as datagrams are.
+#[derive(Debug)]
+pub struct Mail {
+    /// The number that others know it by.
+    pub from: u64,
+    /// One round of letters after another.
+    pub out: mpsc::Receiver<Vec<Letter>>,
+    /// Those that came.
+    pub into: mpsc::Sender<Vec<u8>>,
+}
+
+/// The next round of letters, if there are to be any.
+async fn written(mail: &mut Option<Mail>) -> Vec<Letter> {
+    let next = match mail {
+        Some(mail) => mail.out.recv().await,
+        None => None,
+    };
+    match next {
+        Some(letters) => letters,
+        None => std::future::pending().await,
+    }
+}
+
+/// Hands a round of letters to the planner whose turn it is, or to the next that takes them.
+fn post(from: u64, letters: &[Letter], turns: &mut Turns, writers: &[Option<mpsc::Sender<Asked>>]) {
+    let order: Vec<usize> = turns.next(writers.len()).collect();
+    for some in letters.chunks(MOST_LETTERS) {
+        let mut open = order.iter().filter_map(|planner| writers[*planner].as_ref());
+        let _ = open.any(|writer| writer.try_send(Asked::Letters { from, letters: some.to_vec() }).is_ok());
+    }
+}
+
 /// Follows all planners until it is dropped. `seen` is called after all that it hears or asks, and told
-/// what has changed. Each digest that `digests` brings goes to all planners. Runs on one thread.
+/// what has changed. Each digest that `digests` brings goes to all planners, each round of letters to one. Runs on one
+/// thread.
 pub async fn follow(
     following: Following,
     follower: Rc<RefCell<Follower>>,
     mut digests: watch::Receiver<Digest>,
+    mut mail: Option<Mail>,
     seen: impl Fn(&Follower, Seen),
 ) {
+    let mut turns = Turns::default();
     let (told, mut heard) = mpsc::channel::<(usize, Word)>(WAITING);
     let mut tasks = tokio::task::JoinSet::new();
     let mut writers: Vec<Option<mpsc::Sender<Asked>>> = vec![None; following.planners.len()];
@@ -79,6 +115,11 @@
                 }
                 continue;
             }
+            letters = written(&mut mail) => {
+                let from = mail.as_ref().map_or(0, |mail| mail.from);
+                post(from, &letters, &mut turns, &writers);
+                continue;
+            }
             _ = beats.tick() => {
                 let mut follower = follower.borrow_mut();
                 follower.round();
@@ -105,6 +146,12 @@
                 writers[planner] = None;
                 follower.lost(planner);
             }
+            Word::Told(Told::Letters(letters)) => {
+                if let Some(mail) = &mail {
+                    letters.into_iter().for_each(|letter| drop(mail.into.try_send(letter)));
+                }
+                continue;
+            }
             Word::Told(told) => match follower.hear(planner, told) {
                 Heard::Changed => {
                     changed = Seen::Nodes;
--- a/crates/plan/src/io/mod.rs
+++ b/crates/plan/src/io/mod.rs
@@ -7,6 +7,6 @@
 mod planner;
 mod security;
 
-pub use follow::{Following, Seen, follow};
+pub use follow::{Following, Mail, Seen, follow};
 pub use planner::{Lease, Planner};
 pub use security::{Files, Part, Security, SecurityError, Stream};
--- a/crates/plan/src/io/planner.rs
+++ b/crates/plan/src/io/planner.rs
@@ -4,14 +4,17 @@
 use super::security::{self, Security, Stream};
 use crate::wire::WireError;
 use crate::wire::{MOST_ASKED, read_asked, write_told};
-use crate::{Asked, Digest, Loads, MOST_COUNTED, Part, Plan, Publisher, Slice, Told, Version};
+use crate::{
+    Asked, Digest, Letter, Letters, Loads, MOST_COUNTED, Part, Plan, Post, Publisher, Slice, Told, Version,
+};
+use std::collections::HashMap;
 use std::io;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 use tokio::io::AsyncWrite;
 use tokio::net::TcpListener;
-use tokio::sync::{broadcast, mpsc};
+use tokio::sync::{Notify, broadcast, mpsc};
 
 /// A follower must say who it is within this,
 const HELLO_WITHIN: Duration = Duration::from_secs(2);
@@ -39,6 +42,9 @@
     lease: Box<Lease>,
     highest: Mutex<Version>,
     loads: Mutex<Loads>,
+    post: Mutex<Post>,
+    /// Whom to wake where letters wait: connections that have asked for some.
+    awaiting: Mutex<HashMap<u64, Arc<Notify>>>,
     connections: AtomicU64,
     start: Instant,
     most: usize,
@@ -68,6 +74,8 @@
     fn drop(&mut self) {
         self.0.followers.fetch_sub(1, Ordering::Relaxed);
         self.0.loads().lost(self.1);
+        self.0.post().lost(self.1);
+        self.0.awaiting().remove(&self.1);
     }
 }
 
@@ -86,6 +94,8 @@
             lease,
             highest: Mutex::default(),
             loads: Mutex::default(),
+            post: Mutex::default(),
+            awaiting: Mutex::default(),
             connections: AtomicU64::new(0),
             start: Instant::now(),
             most,
@@ -196,6 +206,8 @@
         for told in behind {
             frame::write(&mut writer, &write_told(&told)).await?;
         }
+        let letters = Arc::new(Notify::new());
+        self.awaiting().insert(number, letters.clone());
         // Reading is a task of its own, as half a frame must not be lost when news come first.
         let (questions, mut heard) = mpsc::channel(QUESTIONS);
         let reading = async move {
@@ -249,12 +261,21 @@
                             Some(budgets) => Framed::Own(write_told(&budgets)),
                             None => continue,
                         },
+                        Some(Ok(Some(Asked::Letters { from, letters }))) => {
+                            self.take(number, from, letters);
+                            continue;
+                        }
                         Some(Ok(Some(Asked::Hello { .. }))) => {
                             return Err(io::Error::new(io::ErrorKind::InvalidData, "expected one hello"));
                         }
                         Some(Err(error)) => return Err(error),
                         None => return Ok(()),
                     },
+                    // They come last: what vouches for a plan waits for none of them but the message under way.
+                    () = letters.notified() => match self.fetch(number, &letters) {
+                        Some(told) => Framed::Own(write_told(&told)),
+                        None => continue,
+                    },
                 };
                 frame::write(&mut writer, frame.bytes()).await?;
             }
@@ -270,6 +291,36 @@
         }
     }
 
+    fn post(&self) -> MutexGuard<'_, Post> {
+        self.post.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn awaiting(&self) -> MutexGuard<'_, HashMap<u64, Arc<Notify>>> {
+        self.awaiting.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// What became of letters so far.
+    pub fn letters(&self) -> Letters {
+        self.post().letters
+    }
+
+    /// Takes letters in, and wakes those that they are for.
+    fn take(&self, number: u64, from: u64, letters: Vec<Letter>) {
+        let woken = self.post().take(number, from, letters, self.start.elapsed());
+        let awaiting = self.awaiting();
+        woken.iter().filter_map(|to| awaiting.get(to)).for_each(|to| to.notify_one());
+    }
+
+    /// Letters that wait for a connection, and another turn for those that are too many for one message.
+    fn fetch(&self, number: u64, more: &Notify) -> Option<Told> {
+        let letters = self.post().fetch(number);
+        if letters.is_empty() {
+            return None;
+        }
+        more.notify_one();
+        Some(Told::Letters(letters))
+    }
+
     fn loads(&self) -> MutexGuard<'_, Loads> {
         self.loads.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/plan/src/lib.rs
+++ b/crates/plan/src/lib.rs
@@ -19,6 +19,7 @@
 mod drains;
 mod follower;
 pub mod io;
+mod letters;
 mod loads;
 mod publisher;
 mod slice;
@@ -28,6 +29,7 @@
 pub use announcer::Announcer;
 pub use drains::{DrainBound, Unkept, asked_every};
 pub use follower::{Follower, Heard, Refused, State};
+pub use letters::{Letter, Letters, MOST_LETTER, MOST_LETTERS, Post, Turns};
 pub use loads::Loads;
 pub use publisher::{Part, Publisher};
 pub use slice::{Cells, Slice};
@@ -158,6 +160,8 @@
     },
     /// What each of these cold nodes would usually be sent by this follower, in requests a second.
     Budgets(Vec<(String, f64)>),
+    /// What other forwarders have written to this one.
+    Letters(Vec<Vec<u8>>),
 }
 
 /// What followers say to planners.
@@ -181,6 +185,14 @@
     Resend,
     /// What was seen lately.
     Digest(Digest),
+    /// To be handed on to other forwarders, from one of that number. The first word of it is what makes letters to it
+    /// come, so that one may be without letters.
+    Letters {
+        /// Who writes.
+        from: u64,
+        /// What.
+        letters: Vec<Letter>,
+    },
 }
 
 /// Nodes that a plan may have.
--- a/crates/plan/src/wire.rs
+++ b/crates/plan/src/wire.rs
@@ -4,8 +4,8 @@
 //! what it needs or makes no sense is refused, and nothing of it is taken.
 
 use crate::{
-    Asked, Counts, Delta, Digest, MOST_COUNTED, MOST_NAME, MOST_NODES, MOST_PLANNERS, Mark, Node, Plan, Told,
-    Version,
+    Asked, Counts, Delta, Digest, Letter, MOST_COUNTED, MOST_LETTER, MOST_LETTERS, MOST_NAME, MOST_NODES,
+    MOST_PLANNERS, Mark, Node, Plan, Told, Version,
 };
 use prost::Message;
 use std::net::SocketAddr;
@@ -134,6 +134,26 @@
     beat: Option<RawBeat>,
     #[prost(message, optional, tag = "5")]
     budgets: Option<RawBudgets>,
+    #[prost(message, optional, tag = "6")]
+    letters: Option<RawLetters>,
+}
+
+#[derive(Clone, PartialEq, Message)]
+struct RawLetters {
+    /// None from a planner, which does not know who wrote.
+    #[prost(fixed64, tag = "1")]
+    from: u64,
+    #[prost(message, repeated, tag = "2")]
+    letters: Vec<RawLetter>,
+}
+
+#[derive(Clone, PartialEq, Message)]
+struct RawLetter {
+    /// None from a planner.
+    #[prost(fixed64, tag = "1")]
+    to: u64,
+    #[prost(bytes = "vec", tag = "2")]
+    bytes: Vec<u8>,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -199,6 +219,8 @@
     resend: bool,
     #[prost(message, optional, tag = "5")]
     digest: Option<RawDigest>,
+    #[prost(message, optional, tag = "6")]
+    letters: Option<RawLetters>,
 }
 
 fn bad(what: &'static str, expected: &'static str, found: impl ToString) -> WireError {
@@ -269,24 +291,38 @@
         return Err(WireError::TooLong { most: MOST_TOLD, found: bytes.len() });
     }
     let raw = RawTold::decode(bytes).map_err(|error| WireError::Malformed(error.to_string()))?;
-    match (raw.plan, raw.drain, raw.beat, raw.budgets) {
-        (Some(raw), None, None, None) => plan(raw),
-        (None, Some(raw), None, None) => {
+    match (raw.plan, raw.drain, raw.beat, raw.budgets, raw.letters) {
+        (Some(raw), None, None, None, None) => plan(raw),
+        (None, Some(raw), None, None, None) => {
             let mark = raw.mark.ok_or_else(|| bad("mark", "a mark", "none"))?;
             let (planner, mark) = (mark.planner, Mark { epoch: mark.epoch, sequence: mark.sequence });
             Ok(Told::Drain { planner, mark, id: name("id", raw.id, 1)? })
         }
-        (None, None, None, Some(raw)) => budgets(raw),
-        (None, None, Some(raw), None) => {
+        (None, None, None, Some(raw), None) => budgets(raw),
+        (None, None, None, None, Some(raw)) => {
+            Ok(Told::Letters(letters(raw)?.into_iter().map(|letter| letter.bytes).collect()))
+        }
+        (None, None, Some(raw), None, None) => {
             let full_ms = if raw.full_ms == 0 { UNSAID_LEASE } else { raw.full_ms };
             let RawBeat { number, lease_ms, .. } = raw;
             Ok(Told::Beat { number, version: version(raw.version)?, lease_ms, full_ms })
         }
-        (None, None, None, None) => Err(WireError::Unknown),
+        (None, None, None, None, None) => Err(WireError::Unknown),
         _ => Err(bad("message", "one thing", "several")),
     }
 }
 
+fn letters(raw: RawLetters) -> Result<Vec<Letter>, WireError> {
+    if raw.letters.len() > MOST_LETTERS {
+        return Err(bad("letters", "at most 64", raw.letters.len()));
+    }
+    let letter = |raw: RawLetter| match (1..=MOST_LETTER).contains(&raw.bytes.len()) {
+        true => Ok(Letter { to: raw.to, bytes: raw.bytes }),
+        false => Err(bad("letter", "1 to 256 bytes", raw.bytes.len())),
+    };
+    raw.letters.into_iter().map(letter).collect()
+}
+
 fn budgets(raw: RawBudgets) -> Result<Told, WireError> {
     if raw.nodes.len() > MOST_COUNTED {
         return Err(bad("budgets", "at most 64 nodes", raw.nodes.len()));
@@ -316,16 +352,17 @@
         return Err(WireError::TooLong { most: MOST_ASKED, found: bytes.len() });
     }
     let raw = RawAsked::decode(bytes).map_err(|error| WireError::Malformed(error.to_string()))?;
-    match (raw.hello, raw.beat, raw.resend, raw.digest) {
-        (Some(hello), None, false, None) => {
+    match (raw.hello, raw.beat, raw.resend, raw.digest, raw.letters) {
+        (Some(hello), None, false, None, None) => {
             let has = hello.has.map(|has| version(Some(has))).transpose()?;
             let nodes = (hello.nodes > 0).then_some(hello.nodes);
             Ok(Asked::Hello { name: name("name", hello.name, 1)?, has, nodes })
         }
-        (None, Some(number), false, None) => Ok(Asked::Beat { number }),
-        (None, None, true, None) => Ok(Asked::Resend),
-        (None, None, false, Some(raw)) => digest(raw).map(Asked::Digest),
-        (None, None, false, None) => Err(WireError::Unknown),
+        (None, Some(number), false, None, None) => Ok(Asked::Beat { number }),
+        (None, None, true, None, None) => Ok(Asked::Resend),
+        (None, None, false, Some(raw), None) => digest(raw).map(Asked::Digest),
+        (None, None, false, None, Some(raw)) => Ok(Asked::Letters { from: raw.from, letters: letters(raw)? }),
+        (None, None, false, None, None) => Err(WireError::Unknown),
         _ => Err(bad("message", "one thing", "several")),
     }
 }
@@ -358,7 +395,7 @@
 
 /// What a planner says, with its length.
 pub fn write_told(told: &Told) -> Vec<u8> {
-    let mut raw = RawTold { protocol: PROTOCOL, plan: None, drain: None, beat: None, budgets: None };
+    let mut raw = RawTold { protocol: PROTOCOL, ..RawTold::default() };
     let heard = |heard: &[(u32, Mark)]| heard.iter().map(|(p, m)| raw_mark(*p, *m)).collect();
     match told {
         Told::Full(plan) => {
@@ -391,13 +428,17 @@
             let nodes = budgets.iter().map(|(id, usual)| RawBudget { id: id.clone(), usual: *usual });
             raw.budgets = Some(RawBudgets { nodes: nodes.collect() });
         }
+        Told::Letters(letters) => {
+            let letters = letters.iter().map(|bytes| RawLetter { to: 0, bytes: bytes.clone() });
+            raw.letters = Some(RawLetters { from: 0, letters: letters.collect() });
+        }
     }
     framed(&raw)
 }
 
 /// What a follower says, with its length.
 pub fn write_asked(asked: &Asked) -> Vec<u8> {
-    let mut raw = RawAsked { protocol: PROTOCOL, hello: None, beat: None, resend: false, digest: None };
+    let mut raw = RawAsked { protocol: PROTOCOL, ..RawAsked::default() };
     match asked {
         Asked::Hello { name, has, nodes } => {
             let (name, has) = (name.clone(), has.map(raw_version));
@@ -417,6 +458,10 @@
             let nodes = digest.nodes.iter().map(counts).collect();
             raw.digest = Some(RawDigest { span_ms: digest.span_ms, nodes, rest: digest.rest });
         }
+        Asked::Letters { from, letters } => {
+            let letter = |letter: &Letter| RawLetter { to: letter.to, bytes: letter.bytes.clone() };
+            raw.letters = Some(RawLetters { from: *from, letters: letters.iter().map(letter).collect() });
+        }
     }
     framed(&raw)
 }
--- a/crates/plan/tests/hostile.rs
+++ b/crates/plan/tests/hostile.rs
@@ -85,7 +85,7 @@
             let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
             runtime.block_on(async {
                 tokio::select! {
-                    () = follow(following, follower, heard, note) => {}
+                    () = follow(following, follower, heard, None, note) => {}
                     _ = ends => {}
                 }
             });
