fleet.carrier = "planners": what proxies tell each other goes by way of the planners

Need: the second carrier behind one trait. Datagrams go over sockets or as letters; the core, its ages and its refusals are the same for both. Off unless it is set; with it no socket is bound and names need no addresses. Result: settings that do not fit are refused with their place, tested.

--- a/crates/dewpier/src/config/fleet.rs
+++ b/crates/dewpier/src/config/fleet.rs
@@ -3,7 +3,7 @@
 use super::check::{Wrong, address, beside, millis, number, whole, wrong};
 use dewpier_peers::Key;
 use serde::Deserialize;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::time::Duration;
@@ -21,10 +21,10 @@
 pub struct Fleet {
     /// The proxy's name, which no other has.
     pub name: String,
-    /// Where datagrams come.
-    pub listen: SocketAddr,
-    /// The others by name, and where they listen.
-    pub peers: BTreeMap<String, SocketAddr>,
+    /// The others by name.
+    pub peers: BTreeSet<String>,
+    /// What carries datagrams to them.
+    pub carrier: Carrier,
     /// What the fleet shares.
     pub key: Key,
     /// How often partners are written to.
@@ -35,11 +35,26 @@
     pub verdicts: dewpier_verdicts::Settings,
 }
 
+/// What carries datagrams from proxy to proxy.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Carrier {
+    /// UDP.
+    Datagrams {
+        /// Where they come.
+        listen: SocketAddr,
+        /// Where the others listen.
+        at: BTreeMap<String, SocketAddr>,
+    },
+    /// The planners that a forwarder follows, each in turn.
+    Planners,
+}
+
 #[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 pub(super) struct RawFleet {
     name: Spanned<String>,
-    listen: Spanned<String>,
+    carrier: Option<Spanned<String>>,
+    listen: Option<Spanned<String>>,
     peers: Spanned<Vec<RawPeer>>,
     key_file: Spanned<String>,
     every_ms: Option<Spanned<i64>>,
@@ -55,7 +70,7 @@
 #[serde(deny_unknown_fields)]
 struct RawPeer {
     name: Spanned<String>,
-    address: Spanned<String>,
+    address: Option<Spanned<String>>,
 }
 
 fn name(raw: &Spanned<String>) -> Result<String, Wrong> {
@@ -97,18 +112,55 @@
     Ok(file)
 }
 
-pub(super) fn fleet(raw: &RawFleet, path: &Path) -> Result<Fleet, Wrong> {
+/// Whether planners carry datagrams.
+fn by_planners(raw: &RawFleet, planners: bool) -> Result<bool, Wrong> {
+    let Some(named) = &raw.carrier else { return Ok(false) };
+    match (named.get_ref().as_str(), planners) {
+        ("datagrams", _) => Ok(false),
+        ("planners", true) => Ok(true),
+        ("planners", false) => wrong(named.span(), "carrier", "a forwarder with [planners]", "none"),
+        (other, _) => {
+            let found = format!("'{}'", other.escape_debug());
+            wrong(named.span(), "carrier", "\"datagrams\" or \"planners\"", found)
+        }
+    }
+}
+
+/// An address that datagrams need and planners do not.
+fn at(
+    raw: &Option<Spanned<String>>,
+    key: &'static str,
+    by_planners: bool,
+    without: std::ops::Range<usize>,
+) -> Result<Option<SocketAddr>, Wrong> {
+    match raw {
+        None if by_planners => Ok(None),
+        None => wrong(without, key, "address:port, as datagrams go by address", "none"),
+        Some(raw) if by_planners => {
+            let found = format!("'{}'", raw.get_ref().escape_debug());
+            wrong(raw.span(), key, "none, as planners carry what is said", found)
+        }
+        Some(raw) => address(raw, key).map(Some),
+    }
+}
+
+pub(super) fn fleet(raw: &RawFleet, planners: bool, path: &Path) -> Result<Fleet, Wrong> {
+    let by_planners = by_planners(raw, planners)?;
     let own = name(&raw.name)?;
     let listed = raw.peers.get_ref();
     if listed.len() > MOST_PROXIES {
         return wrong(raw.peers.span(), "peers", &format!("at most {MOST_PROXIES}"), listed.len());
     }
-    let mut peers = BTreeMap::new();
+    let (mut peers, mut addresses) = (BTreeSet::new(), BTreeMap::new());
     for peer in listed {
         let theirs = name(&peer.name)?;
-        let at = address(&peer.address, "address")?;
+        let at = at(&peer.address, "address", by_planners, peer.name.span())?;
         // One list may serve all proxies, this one in it.
-        if theirs != own && peers.insert(theirs.clone(), at).is_some() {
+        if theirs == own {
+            continue;
+        }
+        addresses.extend(at.map(|at| (theirs.clone(), at)));
+        if !peers.insert(theirs.clone()) {
             return wrong(
                 peer.name.span(),
                 "name",
@@ -134,7 +186,10 @@
         proxies: peers.len() + 1,
         ..dewpier_verdicts::Settings::default()
     };
-    let listen = address(&raw.listen, "listen")?;
+    let carrier = match at(&raw.listen, "listen", by_planners, raw.name.span())? {
+        Some(listen) => Carrier::Datagrams { listen, at: addresses },
+        None => Carrier::Planners,
+    };
     let snapshot = raw.snapshot_file.as_ref().map(|raw| snapshot(raw, path)).transpose()?;
-    Ok(Fleet { name: own, listen, peers, key: key(&raw.key_file, path)?, every, snapshot, verdicts })
+    Ok(Fleet { name: own, peers, carrier, key: key(&raw.key_file, path)?, every, snapshot, verdicts })
 }
--- a/crates/dewpier/src/config/mod.rs
+++ b/crates/dewpier/src/config/mod.rs
@@ -12,7 +12,7 @@
 mod tests;
 
 pub use check::ConfigError;
-pub use fleet::Fleet;
+pub use fleet::{Carrier, Fleet};
 pub use inventory::Inventory;
 pub use mysql::{MySqlConfig, Secrets, hash};
 pub use planner::PlannerConfig;
@@ -194,7 +194,7 @@
             wire,
             routes: Routes::new(routes),
             mysql: file.mysql.as_ref().map(|raw| mysql(raw, &file.zone, path)).transpose()?,
-            fleet: file.fleet.as_ref().map(|raw| fleet(raw, path)).transpose()?,
+            fleet: file.fleet.as_ref().map(|raw| fleet(raw, file.planners.is_some(), path)).transpose()?,
             zone: file.zone,
         })
     }
--- a/crates/dewpier/src/config/tests.rs
+++ b/crates/dewpier/src/config/tests.rs
@@ -191,6 +191,10 @@
         (format!("{least}\nsnapshot_file = \"none/known\""), 9, "a file in a folder that is there"),
         (format!("{least}\nsnapshot_file = \"..\""), 9, "a file in a folder that is there"),
         (format!("{least}\ngossip = true"), 9, "unknown field"),
+        (format!("{least}\ncarrier = \"pigeons\""), 9, "\"datagrams\" or \"planners\", found 'pigeons'"),
+        (format!("{least}\ncarrier = \"planners\""), 9, "a forwarder with [planners], found none"),
+        (least.replace("listen = \"127.0.0.1:1\"\n", ""), 5, "as datagrams go by address"),
+        (least.replace(", address = \"127.0.0.1:2\"", ""), 8, "as datagrams go by address"),
     ] {
         let refused = read(&settings);
         if line == 0 {
@@ -203,5 +207,21 @@
             "{refused}"
         );
     }
+    // Where planners carry what is said nothing has an address.
+    let planned = |fleet: &str| {
+        let planners = "[planners]\nname = \"p\"\naddresses = [\"127.0.0.1:9\"]\nplaintext = true\n";
+        let text = format!("listen = \"127.0.0.1:0\"\n{planners}[fleet]\ncarrier = \"planners\"\n{fleet}\n");
+        Config::parse(&text, &folder.join("dewpier.toml")).map_err(|error| error.to_string())
+    };
+    let names = "name = \"a\"\nkey_file = \"key\"\npeers = [{ name = \"a\" }, { name = \"b\" }]";
+    let fleet = planned(names).unwrap().fleet.unwrap();
+    assert_eq!((fleet.peers.len(), fleet.carrier), (1, Carrier::Planners));
+    for settings in [
+        format!("{names}\nlisten = \"127.0.0.1:1\""),
+        names.replace("\"b\"", "\"b\", address = \"1.1.1.1:1\""),
+    ] {
+        let refused = planned(&settings).unwrap_err();
+        assert!(refused.contains("none, as planners carry what is said"), "{refused}");
+    }
     let _ = std::fs::remove_dir_all(folder);
 }
--- a/crates/dewpier/src/fleet.rs
+++ b/crates/dewpier/src/fleet.rs
@@ -1,6 +1,7 @@
 //! A proxy among others: what its engine sees of attempts becomes evidence, what holds of nodes becomes a belief of
 //! its module, and datagrams carry both.
 
+use crate::carried::Carries;
 use crate::config::Fleet as Told;
 use crate::error::ServeError;
 use crate::kept;
@@ -19,7 +20,6 @@
 use std::path::Path;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
-use tokio::net::UdpSocket;
 
 /// Datagrams that are looked at in a second, for each partner's datagram that is due in it.
 const TAKEN: f64 = 4.0;
@@ -90,7 +90,7 @@
         // Not zero, which stands for nobody.
         let life = (crate::feed::seed() as u32).max(1);
         let me = Process { name: Name::of(&told.name), life };
-        let others: Vec<Name> = told.peers.keys().map(|name| Name::of(name)).collect();
+        let others: Vec<Name> = told.peers.iter().map(|name| Name::of(name)).collect();
         let partners = dewpier_peers::partners(me.name, &others).len();
         let due = partners.max(1) as f64 / told.every.as_secs_f64();
         let peers = Peers::new(
@@ -133,7 +133,7 @@
             Err(error) => return tracing::warn!(%error, "no snapshot is taken up"),
         };
         let State { verdicts, rulings, .. } = state;
-        let others: HashSet<Name> = self.told.peers.keys().map(|name| Name::of(name)).collect();
+        let others: HashSet<Name> = self.told.peers.iter().map(|name| Name::of(name)).collect();
         let mut known = Known { verdicts, rulings, classes: &self.classes };
         let taken = snapshot.take_up(&mut known, |name| others.contains(&name), age, now);
         tracing::info!(
@@ -228,24 +228,16 @@
         });
     }
 
-    /// The socket that datagrams come to: who can't have it does not start.
-    pub async fn bind(&self) -> Result<UdpSocket, ServeError> {
-        let at = self.told.listen;
-        let said = |error: io::Error| io::Error::new(error.kind(), format!("fleet.listen {at}: {error}"));
-        Ok(UdpSocket::bind(at).await.map_err(said)?)
-    }
-
     /// Talks with the others and tells the engine what holds, until it is dropped.
     pub async fn run<U: Upstream>(
         self: Rc<Self>,
-        socket: UdpSocket,
+        carries: Carries,
         engine: Rc<Engine<U>>,
     ) -> Result<(), ServeError> {
-        tracing::info!(listen = %socket.local_addr()?, others = self.told.peers.len(), "the fleet is told what is seen here");
-        let at = self.told.peers.iter().map(|(name, address)| (Name::of(name), *address)).collect();
+        let (carrier, others) = (&self.told.carrier, self.told.peers.len());
+        tracing::info!(?carrier, others, "the fleet is told what is seen here");
         let talking = dewpier_peers::io::run(
-            socket,
-            at,
+            carries,
             self.told.every,
             || self.now(),
             |step| {
--- a/crates/dewpier/src/lib.rs
+++ b/crates/dewpier/src/lib.rs
@@ -7,6 +7,7 @@
 #![warn(missing_docs)]
 
 mod beside;
+mod carried;
 pub mod config;
 pub mod error;
 mod feed;
--- a/crates/dewpier/src/lists/mod.rs
+++ b/crates/dewpier/src/lists/mod.rs
@@ -14,7 +14,7 @@
 use crate::config::{Inventory, Planners};
 use crate::error::ServeError;
 use crate::{status, tls};
-use dewpier_plan::io::Security;
+use dewpier_plan::io::{Mail, Security};
 use dewpier_plan::{Digest, Node};
 use gannetproxy::engine::Lease;
 use std::collections::HashMap;
@@ -61,8 +61,9 @@
         Ok(Self(Feed::Inventory(Watched::start(inventory)?)))
     }
 
-    /// The lists that planners tell. Runs on a [`tokio::task::LocalSet`].
-    pub fn of_planners(planners: Planners) -> Result<Self, ServeError> {
+    /// The lists that planners tell, who carry letters to and fro as well where there are to be any. Runs on a
+    /// [`tokio::task::LocalSet`].
+    pub fn of_planners(planners: Planners, mail: Option<Mail>) -> Result<Self, ServeError> {
         let from = format!("{} planners", planners.addresses.len());
         let (told, latest) = watch::channel(Vec::new());
         let start = Instant::now();
@@ -70,7 +71,7 @@
         let (budget, budgets) = watch::channel(HashMap::new());
         let (digests, digest) = watch::channel(Digest::default());
         let status = planners.status.as_deref().map(status::listen).transpose()?;
-        let ends = Ends { told, budgets: budget, digests: digest, status };
+        let ends = Ends { told, budgets: budget, digests: digest, mail, status };
         let security = tls::security(planners.tls.clone())?;
         let following = planned::run(planners, security.clone(), ends, lent.clone(), start);
         let following = tokio::task::spawn_local(following).abort_handle();
--- a/crates/dewpier/src/lists/planned.rs
+++ b/crates/dewpier/src/lists/planned.rs
@@ -6,7 +6,7 @@
 use super::watched::Watched;
 use crate::config::Planners;
 use crate::status::{self, Shown, ShownNode};
-use dewpier_plan::io::{Following, Security, Seen, follow};
+use dewpier_plan::io::{Following, Mail, Security, Seen, follow};
 use dewpier_plan::{Digest, Follower, Node, Rules, Slice, Standby, asked_every};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -119,6 +119,8 @@
     pub(super) told: watch::Sender<Vec<Node>>,
     pub(super) budgets: watch::Sender<HashMap<String, f64>>,
     pub(super) digests: watch::Receiver<Digest>,
+    /// Letters that planners carry, if any.
+    pub(super) mail: Option<Mail>,
     /// Where it is asked what it goes by.
     pub(super) status: Option<UnixListener>,
 }
@@ -136,7 +138,8 @@
     let sides =
         Sides { follower: follower.clone(), standby, told, budgets, lent, start, name: own_name, since };
     let following = Following { planners: addresses, name, beat, start, security };
-    let followed = follow(following, follower, ends.digests, |follower, seen| sides.see(follower, seen));
+    let followed =
+        follow(following, follower, ends.digests, ends.mail, |follower, seen| sides.see(follower, seen));
     tokio::pin!(followed);
     let mut watch: Option<Watched> = None;
     let status = ends.status;
--- a/crates/dewpier/src/run.rs
+++ b/crates/dewpier/src/run.rs
@@ -1,7 +1,8 @@
 //! Starts a proxy from a checked configuration, and feeds it the lists that its inventory or its
 //! planners give.
 
-use crate::config::{Config, ListFrom};
+use crate::carried::{self, Carries};
+use crate::config::{Carrier, Config, ListFrom};
 use crate::error::ServeError;
 use crate::feed::{Feed, seed};
 use crate::fleet::Fleet;
@@ -13,6 +14,7 @@
 use dewpier_http::server::{self, Server};
 use dewpier_operate::figures::Figures;
 use dewpier_operate::io as operators;
+use dewpier_peers::Name;
 use gannetproxy::engine::Engine;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -48,9 +50,16 @@
 ) -> Result<(), ServeError> {
     let Config { listen, operator, descriptors, memory, source, settings, wire, routes, mysql, zone, fleet } =
         config;
+    let (by_planners, mail) = match &fleet {
+        Some(told) if told.carrier == Carrier::Planners => {
+            let (fleet, mail) = carried::by_planners(Name::of(&told.name));
+            (Some(fleet), Some(mail))
+        }
+        _ => (None, None),
+    };
     let lists = match source {
         ListFrom::Inventory(inventory) => Lists::of_inventory(inventory)?,
-        ListFrom::Planners(planners) => Lists::of_planners(*planners)?,
+        ListFrom::Planners(planners) => Lists::of_planners(*planners, mail)?,
     };
     let mut feed = Feed::first(lists, wire.zones.clone()).await?;
 
@@ -72,9 +81,10 @@
         eprintln!("dewpier: operators call at {}", operators.local_addr()?);
     }
     let engine = Engine::leased(settings.clone(), wire.bounds(), seed(), upstream, feed.lease());
+    let carrier = fleet.as_ref().map(|told| told.carrier.clone());
     let fleet = fleet.map(|told| Fleet::start(told, &zone, wire.classes.clone()));
-    let datagrams = match &fleet {
-        Some(fleet) => Some(fleet.bind().await?),
+    let carries = match carrier {
+        Some(carrier) => Some(Carries::begin(&carrier, by_planners).await?),
         None => None,
     };
     if let Some(fleet) = &fleet {
@@ -133,8 +143,8 @@
     let talking = {
         let engine = engine.clone();
         async move {
-            match fleet.zip(datagrams) {
-                Some((fleet, socket)) => fleet.run(socket, engine).await,
+            match fleet.zip(carries) {
+                Some((fleet, carries)) => fleet.run(carries, engine).await,
                 None => std::future::pending().await,
             }
         }
--- a/crates/peers/src/io/mod.rs
+++ b/crates/peers/src/io/mod.rs
@@ -1,22 +1,37 @@
-//! Datagrams over UDP: a thin shell round the core.
+//! Datagrams on their way: a thin shell round the core, over whatever carries them.
 
-use crate::{Carried, MOST_BYTES, Name, Now, Peers, Refused};
-use std::collections::HashMap;
+mod udp;
+
+pub use udp::Udp;
+
+use crate::{Carried, MOST_BYTES, Now, Out, Peers, Refused};
+use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
-use tokio::net::UdpSocket;
 
 /// What is refused is told at most this often, with the counts.
 const TOLD_EVERY: Duration = Duration::from_secs(10);
 /// Datagrams that are read before others get their turn.
 const AT_ONCE: usize = 64;
 
+/// What carries datagrams from process to process. It promises nothing: each may be lost, late, doubled, out of order,
+/// changed or made up, and the core is what tells.
+pub trait Way {
+    /// Waits until something may have come. Nothing is lost if it is dropped before. An error ends it for good.
+    fn ready(&mut self) -> impl Future<Output = io::Result<()>>;
+
+    /// Puts what has come next into the buffer: how long it is, and whence it came, where that is known.
+    fn take(&mut self, buffer: &mut [u8]) -> Option<(usize, Option<SocketAddr>)>;
+
+    /// Sends a round of datagrams. What there is no room for is lost: the next round says it again.
+    fn send(&mut self, outs: Vec<Out>);
+}
+
 /// Sends and receives until it is dropped. `with` lends the core and what it carries, for one step that does not
-/// wait. `at` has the addresses of the others, `now` is the clock of all cores of this process.
+/// wait. `now` is the clock of all cores of this process.
 pub async fn run(
-    socket: UdpSocket,
-    at: HashMap<Name, SocketAddr>,
+    mut way: impl Way,
     every: Duration,
     now: impl Fn() -> Now,
     with: impl Fn(&mut dyn FnMut(&mut Peers, &mut [&mut dyn Carried])),
@@ -27,13 +42,12 @@
     let mut buffer = [0; MOST_BYTES + 1];
     loop {
         tokio::select! {
-            ready = socket.readable() => {
+            ready = way.ready() => {
                 if let Err(error) = ready {
                     return error;
                 }
                 for _ in 0..AT_ONCE {
-                    // Who was written to and does not listen shows as an error here: that is no fault of ours.
-                    let Ok((length, from)) = socket.try_recv_from(&mut buffer) else { break };
+                    let Some((length, from)) = way.take(&mut buffer) else { break };
                     let mut refused = None;
                     with(&mut |peers, carried| refused = peers.hear(&buffer[..length], now(), carried).err());
                     let Some(why) = refused.filter(|why| !matches!(why, Refused::Unasked | Refused::Doubled)) else {
@@ -41,19 +55,14 @@
                     };
                     if told.is_none_or(|at| at.elapsed() >= TOLD_EVERY) {
                         told = Some(Instant::now());
-                        tracing::warn!(%from, length, %why, "a datagram is refused; further ones are counted");
+                        tracing::warn!(?from, length, %why, "a datagram is refused; further ones are counted");
                     }
                 }
             }
             _ = rounds.tick() => {
                 let mut outs = Vec::new();
                 with(&mut |peers, carried| outs = peers.round(now(), carried));
-                for out in outs {
-                    if let Some(address) = at.get(&out.to) {
-                        // Lost, as datagrams are: the next round says it again.
-                        let _ = socket.try_send_to(&out.bytes, *address);
-                    }
-                }
+                way.send(outs);
             }
         }
     }
