--- a/crates/verdicts/benches/false_rate.rs
+++ b/crates/verdicts/benches/false_rate.rs
@@ -30,6 +30,8 @@
     of: AtomicU64,
     /// Seeds in which a sound one was avoided.
     seeds: AtomicU64,
+    /// Seeds that were played.
+    done: AtomicU64,
 }
 
 fn play(seed: u64, sums: &Sums) {
@@ -52,6 +54,11 @@
         add(&sums.out, played.out_at(2) as u64);
         add(&sums.of, PROXIES as u64);
     }
+    let done = sums.done.fetch_add(1, Ordering::Relaxed) + 1;
+    if done.is_multiple_of(100) {
+        let [falsely, looks] = [&sums.falsely, &sums.looks].map(|sum| sum.load(Ordering::Relaxed));
+        println!("{done} seeds: {falsely} of {looks} looks");
+    }
     if played.false_avoids > 0 {
         println!("seed {seed}: {} looks found a sound node avoided", played.false_avoids);
     }
