--- a/crates/dewpier/tests/trials.rs
+++ b/crates/dewpier/tests/trials.rs
@@ -62,16 +62,13 @@
     assert!(rules.contains(&Rule::Drain) && rules.iter().all(|r| *r == Rule::Drain), "{rules:?}");
 }
 
-/// Nobody hears anybody, and the checker is not told: it has to find that the bound is not kept.
-#[test]
-fn the_bound_on_avoidance_is_broken_without_talk() {
-    let size = Size { proxies: 12, nodes: 8, length_ms: 12_000, apart_ms: 8000 };
-    let all: Vec<usize> = (0..size.proxies).collect();
-    let cut = Fault::Talk { from: all.clone(), to: all, lost: 1000, doubled: 0, delay_ms: 0 };
+/// A node fails while that fault lasts, of which the checker is not told: it has to find that the bound is not kept.
+fn breaks_the_bound_on_avoidance(size: Size, settings: Settings, cut: Fault) {
     let node = Step { at_ms: 1000, for_ms: 11_000, fault: Fault::Node { node: 2, does: Node::Fails } };
-    let told = Schedule { seed: 1, size, planners: 0, by_planners: false, steps: vec![node.clone()] };
+    let (planners, by_planners) = (settings.planners, settings.by_planners);
+    let told = Schedule { seed: 1, size, planners, by_planners, steps: vec![node.clone()] };
     let steps = vec![Step { at_ms: 0, for_ms: size.length_ms, fault: cut }, node];
-    let stage = Stage::start(1, size, Settings::default());
+    let stage = Stage::start(1, size, settings);
     let (record, played) = stage.play(&Schedule { steps, ..told.clone() });
     let late =
         |schedule| check(&record, schedule, &stage.bounds()).iter().filter(|b| b.rule == Rule::Late).count();
@@ -80,6 +77,26 @@
     assert!(late(&told) > 0, "the bound holds without what keeps it");
 }
 
+#[test]
+fn the_bound_on_avoidance_is_broken_without_talk() {
+    let size = Size { proxies: 12, nodes: 8, length_ms: 12_000, apart_ms: 8000 };
+    let all: Vec<usize> = (0..size.proxies).collect();
+    let cut = Fault::Talk { from: all.clone(), to: all, lost: 1000, doubled: 0, delay_ms: 0 };
+    breaks_the_bound_on_avoidance(size, Settings::default(), cut);
+}
+
+#[test]
+fn the_bound_on_avoidance_is_broken_where_planners_carry_nothing() {
+    let size = Size { proxies: 12, nodes: 8, length_ms: 12_000, apart_ms: 8000 };
+    let all: Vec<usize> = (0..size.proxies).collect();
+    let cut = Fault::Streams { proxies: all, planners: Vec::new(), to: vec![0, 1, 2], answers: true };
+    breaks_the_bound_on_avoidance(
+        size,
+        Settings { planners: 3, by_planners: true, ..Settings::default() },
+        cut,
+    );
+}
+
 /// Planners carry what twelve forwarders say to each other. One of three stands still while a node turns bad, and later
 /// the streams of half of the forwarders to another one carry nothing.
 #[test]
@@ -100,22 +117,3 @@
     assert!(outcome.broken.is_empty(), "{:?}", outcome.broken);
     assert!(outcome.avoided + outcome.early >= size.proxies / 2, "verdicts go by way of planners");
 }
-
-/// Planners carry nothing, and the checker is not told: it has to find that the bound is not kept.
-#[test]
-fn the_bound_on_avoidance_is_broken_where_planners_carry_nothing() {
-    let size = Size { proxies: 12, nodes: 8, length_ms: 12_000, apart_ms: 8000 };
-    let all: Vec<usize> = (0..size.proxies).collect();
-    let cut = Fault::Streams { proxies: all, planners: Vec::new(), to: vec![0, 1, 2], answers: true };
-    let node = Step { at_ms: 1000, for_ms: 11_000, fault: Fault::Node { node: 2, does: Node::Fails } };
-    let told = Schedule { seed: 1, size, planners: 3, by_planners: true, steps: vec![node.clone()] };
-    let steps = vec![Step { at_ms: 0, for_ms: size.length_ms, fault: cut }, node];
-    let settings = Settings { planners: 3, by_planners: true, ..Settings::default() };
-    let stage = Stage::start(1, size, settings);
-    let (record, played) = stage.play(&Schedule { steps, ..told.clone() });
-    let late =
-        |schedule| check(&record, schedule, &stage.bounds()).iter().filter(|b| b.rule == Rule::Late).count();
-    assert_eq!(late(&played), 0, "who hears nobody is promised nothing");
-    assert!(avoided(&record, &told, &stage.bounds()).checked > 0);
-    assert!(late(&told) > 0, "the bound holds without what keeps it");
-}
--- /dev/null
+++ b/crates/plan/tests/common/planner.rs
@@ -0,0 +1,25 @@
+//! A planner at work, for tests over sockets.
+
+use dewpier_plan::Plan;
+use dewpier_plan::io::{Planner, Security};
+use dewpier_standins::LONG;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// A planner of that plan for so many followers, on a thread of its own.
+pub fn planner(most: usize, plan: Plan) -> (Arc<Planner>, SocketAddr) {
+    let planner = Planner::new(Box::new(|| Duration::from_millis(400)), Duration::from_millis(400), most);
+    planner.publish(plan);
+    let (told, address) = std::sync::mpsc::channel();
+    let serving = planner.clone();
+    std::thread::spawn(move || {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+        runtime.block_on(async move {
+            let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+            told.send(listener.local_addr().unwrap()).unwrap();
+            serving.serve(listener, Security::plain()).await;
+        });
+    });
+    (planner, address.recv_timeout(LONG).unwrap())
+}
--- a/crates/plan/tests/hostile.rs
+++ b/crates/plan/tests/hostile.rs
@@ -1,6 +1,9 @@
 //! Peers on sockets who say what is malformed, too long, out of turn or old: it is refused and counted,
 //! nothing changes, and those who keep to the protocol notice nothing.
 
+#[path = "common/planner.rs"]
+mod common;
+
 use dewpier_plan::io::{Following, Planner, Security, Seen, follow};
 use dewpier_plan::wire::{read_asked, write_asked, write_told};
 use dewpier_plan::{
@@ -102,21 +105,8 @@
     }
 }
 
-/// A planner at work on a thread of its own.
 fn planner(most: usize) -> (Arc<Planner>, SocketAddr) {
-    let planner = Planner::new(Box::new(|| Duration::from_millis(400)), Duration::from_millis(400), most);
-    planner.publish(plan(5, &["a", "b", "c"]));
-    let (told, address) = std::sync::mpsc::channel();
-    let serving = planner.clone();
-    std::thread::spawn(move || {
-        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
-        runtime.block_on(async move {
-            let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
-            told.send(listener.local_addr().unwrap()).unwrap();
-            serving.serve(listener, Security::plain()).await;
-        });
-    });
-    (planner, address.recv_timeout(LONG).unwrap())
+    common::planner(most, plan(5, &["a", "b", "c"]))
 }
 
 fn connect(address: SocketAddr) -> TcpStream {
--- a/crates/plan/tests/letters.rs
+++ b/crates/plan/tests/letters.rs
@@ -1,30 +1,19 @@
 //! Letters between forwarders by way of a planner, on sockets: they arrive, and neither one that writes without end nor one
 //! that reads nothing keeps plans and drains from the others.
 
-use dewpier_plan::io::{Planner, Security};
+#[path = "common/planner.rs"]
+mod common;
+
+use dewpier_plan::io::Planner;
 use dewpier_plan::wire::{read_told, write_asked};
 use dewpier_plan::{Asked, Letter, MOST_LETTER, MOST_LETTERS, Mark, Plan, Told, Version};
 use dewpier_standins::{LONG, wait_for};
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::sync::Arc;
-use std::time::Duration;
 
-/// A planner at work on a thread of its own.
 fn planner() -> (Arc<Planner>, SocketAddr) {
-    let planner = Planner::new(Box::new(|| Duration::from_millis(400)), Duration::from_millis(400), 16);
-    planner.publish(Plan { version: Version { term: 1, generation: 1 }, ..Plan::default() });
-    let (told, address) = std::sync::mpsc::channel();
-    let serving = planner.clone();
-    std::thread::spawn(move || {
-        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
-        runtime.block_on(async move {
-            let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
-            told.send(listener.local_addr().unwrap()).unwrap();
-            serving.serve(listener, Security::plain()).await;
-        });
-    });
-    (planner, address.recv_timeout(LONG).unwrap())
+    common::planner(16, Plan { version: Version { term: 1, generation: 1 }, ..Plan::default() })
 }
 
 fn letters(from: u64, letters: Vec<Letter>) -> Asked {
