--- a/crates/plan/tests/letters.rs
+++ b/crates/plan/tests/letters.rs
@@ -120,3 +120,15 @@
     drop(planner);
     drop(reading);
 }
+
+/// As letters are to a planner of the version before, and whatever comes after them is to this one.
+#[test]
+fn what_a_newer_forwarder_says_is_passed_over() {
+    let (planner, address) = planner();
+    let mut one = Forwarder::start(address, 1);
+    let newer = [0xf8, 0x07, 1];
+    one.0.write_all(&[&(newer.len() as u32).to_le_bytes()[..], &newer].concat()).unwrap();
+    one.says(&Asked::Beat { number: 2 });
+    assert!(matches!(one.next(), Told::Beat { number: 2, .. }));
+    assert_eq!(planner.refused(), 0);
+}
