--- a/crates/verdicts/tests/common/mod.rs
+++ b/crates/verdicts/tests/common/mod.rs
@@ -12,7 +12,7 @@
 pub const STEP: Duration = Duration::from_millis(250);
 
 /// What a node does.
-#[derive(Clone, Copy, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Does {
     Well,
     Fails(f64),
--- a/crates/verdicts/tests/fleet.rs
+++ b/crates/verdicts/tests/fleet.rs
@@ -41,6 +41,26 @@
     }
 }
 
+/// What goes wrong at the one counts as usual for the other until a verdict stands on one of them.
+#[test]
+fn two_nodes_that_turn_bad_at_once_are_both_avoided() {
+    for does in [Does::Hangs, Does::Fails(1.0), Does::IsGone] {
+        let mut took = [Vec::new(), Vec::new()];
+        for seed in 0..8 {
+            for (bad, took) in [&[2][..], &[2, 5]].into_iter().zip(&mut took) {
+                let mut played = Played::new(World { seed, ..World::default() });
+                played.run(seconds(30));
+                bad.iter().for_each(|node| played.does[*node] = does);
+                let all = |p: &Played| bad.iter().all(|node| p.out_at(*node) >= 23);
+                let found = played.run_until(seconds(14), all);
+                took.push(found.unwrap_or_else(|| panic!("seed {seed}: {bad:?} {does:?}")).as_secs_f64());
+                assert_eq!(played.false_avoids, 0, "seed {seed}");
+            }
+        }
+        println!("{does:?}: one {:.1?}, two {:.1?}", took[0], took[1]);
+    }
+}
+
 #[test]
 fn it_comes_back_by_the_trials_of_a_few() {
     let mut played = Played::new(World::default());
