--- a/src/logic.rs
+++ b/src/logic.rs
@@ -815,14 +815,14 @@
             pool.retain(|b| self.usable(*b));
         }
         if pool.is_empty() {
-            // A connection that was lost says little of its backend: with two of them both may be lost at once.
+            // A lost connection says little of its backend: where two are all there is, both may lose one.
             let lost = self.calls[slot].attempts.iter().filter(|a| a.outcome == Some(Outcome::Reset));
             let lost: Vec<usize> = lost.map(|a| a.backend).collect();
             pool = self.subset.iter().copied().filter(|b| scope.holds(&self.backends[*b].entry)).collect();
             let again = |b: &usize| lost.contains(b);
             pool.retain(|b| again(b) && self.usable(*b) || !tried.contains(b) && self.may_borrow(*b));
         }
-        // Those with more than the mean load are left out: slow machines would be crowded where both drawn are.
+        // Those of more than mean load are left out: slow machines would be crowded where both drawn are.
         let mean = pool.iter().map(|b| self.load(*b)).sum::<f64>() / pool.len() as f64;
         pool.retain(|b| self.load(*b) <= mean * (1.0 + f64::EPSILON * 16.0));
         let one = pool.swap_remove(self.draw(pool.len())?);
