Planners whose majority began anew leave the dead group after 6 s, and agree again

A survivor's group has lost its other voters for good; it lets one newcomer in as a learner, which then counts as in a group, and the other one alone is too few to found a new one. Openraft says that a configuration change is under way, for ever.

Change: a member without a leader leaves after twice the time where it hears a planner that is in no group. To leave is as to die, which is safe, as all that is agreed is in memory.

--- a/crates/cluster/src/join.rs
+++ b/crates/cluster/src/join.rs
@@ -9,7 +9,10 @@
 //!
 //! - *Found*: a majority of the numbers are in no group, and this one is the lowest of them. Then no
 //!   group can have a majority, as each member of it would be a number that is in none.
-//! - *Leave*: its own group has had no leader for a while, and another one has.
+//! - *Leave*: its own group has had no leader for a while, and another one has; or for twice as long, and a planner is
+//!   there that is in none. The latter is how planners go on where a majority of a group began anew: what is left of
+//!   it can let nobody in, and those that it can't let in are too few to found another. To leave is as to die, and
+//!   always safe.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -20,6 +23,8 @@
 const PATIENCE: Duration = Duration::from_secs(1);
 /// A group without a leader for so long may be dead.
 const DEAD_AFTER: Duration = Duration::from_secs(3);
+/// For so long a group waits for its majority to come back while planners are there that it can't let in.
+const GIVEN_UP_AFTER: Duration = Duration::from_secs(6);
 
 /// The identity of a start of a planner: when it started, and its number.
 pub fn identity(epoch: u64, number: u32) -> u64 {
@@ -103,7 +108,9 @@
             }
             let since = *self.leaderless.get_or_insert(now);
             let another = others.iter().any(|o| o.led && o.group.is_some() && o.group != me.group);
-            return if another && now - since >= DEAD_AFTER { Step::Leave } else { Step::Wait };
+            let left_out = others.iter().any(|o| o.group.is_none());
+            let dead = another && now - since >= DEAD_AFTER || left_out && now - since >= GIVEN_UP_AFTER;
+            return if dead { Step::Leave } else { Step::Wait };
         }
         self.leaderless = None;
         let idle: Vec<u64> = others.iter().filter(|o| o.group.is_none()).map(|o| o.id).collect();
@@ -181,6 +188,19 @@
         two.heard(0, other(0, true), ms(3200));
         assert_eq!(two.step(mine(false), ms(3200)), Step::Leave);
         assert_eq!(two.step(mine(true), ms(3200)), Step::Wait);
+        // Where none else has a leader: only for one that can't be let in, and later.
+        let mut two = Join::new(vec![0, 1, 2]);
+        for at in (0..=12_000).step_by(400) {
+            two.heard(0, other(0, false), ms(at));
+            assert_eq!(two.step(mine(false), ms(at)), Step::Wait, "nobody is left out");
+        }
+        two.heard(1, idle(1, 9), ms(12_100));
+        assert_eq!(two.step(mine(false), ms(12_100)), Step::Leave);
+        assert_eq!(two.step(mine(true), ms(12_100)), Step::Wait, "it is led");
+        for at in (12_400..18_300).step_by(400) {
+            two.heard(1, idle(1, 9), ms(at));
+            assert_eq!(two.step(mine(false), ms(at)), Step::Wait, "its majority may come back");
+        }
         // One of three that is in none beside two in a group: no founding.
         let mut zero = Join::new(vec![0, 1, 2]);
         zero.heard(1, other(1, false), ms(0));
