--- a/crates/dewpier/tests/trials.rs
+++ b/crates/dewpier/tests/trials.rs
@@ -117,3 +117,20 @@
     assert!(outcome.broken.is_empty(), "{:?}", outcome.broken);
     assert!(outcome.avoided + outcome.early >= size.proxies / 2, "verdicts go by way of planners");
 }
+
+/// A planner is killed, and another one before it is back: what is left of their group can let nobody in. All three agree
+/// again, within the time that the checker waits.
+#[test]
+fn planners_of_which_a_majority_begins_anew_agree_again() {
+    let size = Size { proxies: 3, nodes: 8, length_ms: 10_000, apart_ms: 8000 };
+    let step = |at_ms, for_ms, planner| Step {
+        at_ms,
+        for_ms,
+        fault: Fault::Planner { planner, does: Ends::Killed },
+    };
+    let steps = vec![step(300, 6400, 2), step(5000, 3700, 1)];
+    let settings = Settings { planners: 3, ..Settings::default() };
+    let outcome =
+        campaign::play(&Schedule { seed: 9, size, planners: 3, by_planners: false, steps }, settings);
+    assert!(outcome.broken.is_empty(), "{:?}", outcome.broken);
+}
