A quorum above the number of proxies is refused; an example of a fleet in deploy/

Found in review: with two proxies the default of three that have to agree gave no verdict ever, without a word.

--- a/crates/dewpier/src/config/fleet.rs
+++ b/crates/dewpier/src/config/fleet.rs
@@ -11,6 +11,8 @@
 
 /// Proxies in a fleet.
 const MOST_PROXIES: usize = 10_000;
+/// Proxies that may have to agree.
+const MOST_QUORUM: usize = 64;
 /// Bytes that a key is made from.
 const SECRET: [usize; 2] = [16, 4096];
 /// Longest name of a proxy, in bytes.
@@ -177,13 +179,25 @@
         let expected = format!("every_ms to be at most a sixth of stale_ms, {} ms", stale.as_millis() / 6);
         return wrong(at, "every_ms", &expected, format!("{} ms", every.as_millis()));
     }
+    let proxies = peers.len() + 1;
+    // One that more proxies have to agree on than there are would never come.
+    let most = proxies.clamp(2, MOST_QUORUM);
+    let quorum = whole(&raw.quorum, "quorum", [2, MOST_QUORUM as i64], most.min(3) as i64)? as usize;
+    if let Some(raw) = raw.quorum.as_ref().filter(|_| quorum > most) {
+        return wrong(
+            raw.span(),
+            "quorum",
+            &format!("from 2 to {most}, as there are {proxies} proxies"),
+            quorum,
+        );
+    }
     let verdicts = dewpier_verdicts::Settings {
         stale,
-        quorum: whole(&raw.quorum, "quorum", [2, 64], 3)? as usize,
+        quorum,
         most_out: number(&raw.most_out, "most_out", [0.0, 0.9], 0.3)?,
         slow_factor: number(&raw.slow_factor, "slow_factor", [1.5, 100.0], 4.0)?,
         silent_after: millis(&raw.silent_after_ms, "silent_after_ms", [20, 60_000], 1000)?,
-        proxies: peers.len() + 1,
+        proxies,
         ..dewpier_verdicts::Settings::default()
     };
     let carrier = match at(&raw.listen, "listen", by_planners, raw.name.span())? {
--- a/crates/dewpier/src/config/tests.rs
+++ b/crates/dewpier/src/config/tests.rs
@@ -52,6 +52,15 @@
     );
 }
 
+#[test]
+fn the_checked_example_of_a_fleet_is_good() {
+    let example = concat!(env!("CARGO_MANIFEST_DIR"), "/../../deploy/fleet.toml");
+    let fleet = Config::read(Path::new(example)).unwrap().fleet.unwrap();
+    assert_eq!((fleet.name.as_str(), fleet.verdicts.proxies, fleet.verdicts.quorum), ("proxy-1", 2, 2));
+    let Carrier::Datagrams { listen, at } = fleet.carrier else { panic!("{:?}", fleet.carrier) };
+    assert!(listen.ip().is_loopback() && at.values().all(|at| at.ip().is_loopback()), "{listen} {at:?}");
+}
+
 #[test]
 fn the_checked_example_is_good() {
     let example = concat!(env!("CARGO_MANIFEST_DIR"), "/../../deploy/dewpier.toml");
@@ -169,6 +178,7 @@
     let fleet = read(&least).unwrap().fleet.unwrap();
     // One list serves all: the proxy itself is in it.
     assert_eq!((fleet.peers.len(), fleet.verdicts.proxies, fleet.every.as_millis()), (1, 2, 250));
+    assert_eq!(fleet.verdicts.quorum, 2, "both, where there are two");
     assert!(parse(LEAST).unwrap().fleet.is_none(), "off unless it is set");
     assert!(fleet.snapshot.is_none(), "off unless it is set");
     let kept = read(&format!("{least}\nsnapshot_file = \"known\"")).unwrap().fleet.unwrap().snapshot;
@@ -186,6 +196,7 @@
         (least.replace("{ name = \"a\"", "{ name = \"b\""), 8, "a name that no other proxy has"),
         (least.replace("127.0.0.1:2", "there"), 8, "address:port"),
         (format!("{least}\nquorum = 1"), 9, "from 2 to 64"),
+        (format!("{least}\nquorum = 3"), 9, "from 2 to 2, as there are 2 proxies"),
         (format!("{least}\nstale_ms = 2000\nevery_ms = 400"), 10, "at most a sixth of stale_ms, 333 ms"),
         (format!("{least}\nmost_out = 1.5"), 9, "from 0 to 0.9"),
         (format!("{least}\nsnapshot_file = \"none/known\""), 9, "a file in a folder that is there"),
