Discovery: log every failed call with its duration, and the recovery

Need: the log of an outage had every 2^n-th failure alone, without what was asked for and for how long, so that a crowded service could not be told from one that is down.

A quiet watch logs nothing.

--- a/crates/http/src/discovery/mod.rs
+++ b/crates/http/src/discovery/mod.rs
@@ -15,12 +15,13 @@
 use http_body_util::{BodyExt, Limited};
 use hyper::Request;
 use schedule::{Call, CallTiming, Schedule};
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use thiserror::Error;
 use tokio::sync::Notify;
+use tokio::time::Instant;
 
 /// Time within which the body of a list must arrive. A body that stalls must not delay the next call until
 /// the timeout of the current one.
@@ -82,6 +83,8 @@
     /// Notified when the watch state has changed and the current call is obsolete.
     state_changed: Notify,
     schedule: RefCell<Schedule>,
+    /// When the service last returned a list.
+    last_response_at: Cell<Instant>,
 }
 
 impl Discovery {
@@ -109,6 +112,7 @@
             }),
             state_changed: Notify::new(),
             schedule: RefCell::new(Schedule::new(timing.with_max_wait(max_wait), seed)),
+            last_response_at: Cell::new(Instant::now()),
             engine,
         });
         let weak_discovery = Rc::downgrade(&discovery);
@@ -166,10 +170,17 @@
                 self.state_changed.notified().await;
                 continue;
             };
+            let call_started_at = Instant::now() + call.delay;
             tokio::select! {
                 biased; // drops an answer that is obsolete
-                () = self.state_changed.notified() => connection = None,
-                response = call_after_delay(address, &path, call, &mut connection) => self.handle_response(response),
+                () = self.state_changed.notified() => {
+                    tracing::info!(%path, "discovery call cancelled, as another one is wanted");
+                    connection = None;
+                }
+                response = call_after_delay(address, &path, call, &mut connection) => {
+                    self.log_response(&path, call_started_at.elapsed(), &response);
+                    self.handle_response(response);
+                }
             }
         }
     }
@@ -190,6 +201,36 @@
         Some((state.address, path, call))
     }
 
+    /// Logs a failed call, and the first list after failures. A quiet watch logs nothing.
+    fn log_response(&self, path: &str, duration: Duration, response: &Result<RawList, CallError>) {
+        let failures = self.schedule.borrow().failures();
+        let duration_ms = duration.as_millis();
+        let list_age_ms = self.last_response_at.get().elapsed().as_millis();
+        match response {
+            Ok(list) => {
+                if failures > 0 {
+                    let generation = list.generation;
+                    tracing::info!(
+                        path,
+                        duration_ms,
+                        failures,
+                        generation,
+                        list_age_ms,
+                        "discovery answers again"
+                    );
+                }
+                self.last_response_at.set(Instant::now());
+            }
+            Err(error) => {
+                let failures = failures.saturating_add(1);
+                tracing::warn!(
+                    %error, path, duration_ms, failures, list_age_ms,
+                    "discovery call failed; the last list stays in use"
+                );
+            }
+        }
+    }
+
     /// Applies an answer. On an error the last list stays in use.
     fn handle_response(&self, response: Result<RawList, CallError>) {
         match response {
@@ -218,13 +259,7 @@
                 if matches!(error, CallError::Status(400..500)) {
                     self.watch_state.borrow_mut().use_list_endpoint = true;
                 }
-                let mut schedule = self.schedule.borrow_mut();
-                schedule.record_failure();
-                // Failures are logged at growing intervals, because an outage may last long.
-                let failures = schedule.failures();
-                if failures.is_power_of_two() {
-                    tracing::warn!(%error, failures, "discovery call failed; the last list stays in use");
-                }
+                self.schedule.borrow_mut().record_failure();
             }
         }
     }
