Tests of kept connections: the backend records a request before it answers

Cause: the backend's thread answered first and recorded the request after that, so that the test could read the record in between. It records before it answers; a request that arrives and can't be answered is recorded too, so that the check is stricter than before.

--- a/crates/http/tests/kept_connections.rs
+++ b/crates/http/tests/kept_connections.rs
@@ -45,8 +45,7 @@
         std::thread::spawn(move || {
             let (first, _) = listener.accept().unwrap();
             let mut stream = BufReader::new(first.try_clone().unwrap());
-            answer_request(&mut stream);
-            record_served.send(1).unwrap();
+            answer_request(&mut stream, &record_served, 1);
             triggered.recv_timeout(WAIT_TIMEOUT).unwrap();
             let open = match fault {
                 ConnectionFault::SendBytes(text) => {
@@ -65,24 +64,24 @@
             let record_first = record_served.clone();
             std::thread::spawn(move || {
                 let Some(mut stream) = open else { return };
-                while answer_request(&mut stream) {
-                    record_first.send(1).unwrap();
-                }
+                while answer_request(&mut stream, &record_first, 1) {}
             });
             for (number, stream) in listener.incoming().enumerate() {
                 let mut stream = BufReader::new(stream.unwrap());
-                while answer_request(&mut stream) {
-                    record_served.send(2 + number).unwrap();
-                }
+                while answer_request(&mut stream, &record_served, 2 + number) {}
             }
         });
         Self { address, trigger, done, served }
     }
 }
 
-fn answer_request(stream: &mut BufReader<TcpStream>) -> bool {
-    let received = read_message(stream).is_some();
-    received && stream.get_mut().write_all(format_response("200 OK", "good").as_bytes()).is_ok()
+/// Reads a request, records the number of its connection and answers. Returns whether the connection goes on.
+fn answer_request(stream: &mut BufReader<TcpStream>, record: &Sender<usize>, connection: usize) -> bool {
+    if read_message(stream).is_none() {
+        return false;
+    }
+    record.send(connection).unwrap();
+    stream.get_mut().write_all(format_response("200 OK", "good").as_bytes()).is_ok()
 }
 
 async fn attempt(
