Discovery: only a service that rejects in two ways counts as overloaded

Cause: a service that is down may hold calls and reject them after a wait just as an overloaded one does, so that a long outage would have stretched the interval beyond the staleness bound.

Change: the interval grows beyond the bound only once calls were rejected at once (within 0.1 s) and after a wait (1 s) at least twice each since the last answer. A service that is down does one of them.

The simulated crowds pass as before.

--- a/crates/http/src/discovery/mod.rs
+++ b/crates/http/src/discovery/mod.rs
@@ -14,7 +14,7 @@
 use gannetproxy::engine::{BackendListUpdate, Engine, ListRequest};
 use http_body_util::{BodyExt, Limited};
 use hyper::Request;
-use schedule::{Call, CallTiming, FailedCall, Schedule};
+use schedule::{Call, CallTiming, FailedCall, Rejection, Schedule};
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -26,7 +26,9 @@
 /// Time within which the body of a list must arrive. A body that stalls must not delay the next call until
 /// the timeout of the current one.
 const BODY_TIMEOUT: Duration = Duration::from_secs(1);
-/// Time after which the rejection of a call that asked for no wait shows that it was queued at the service.
+/// Longest duration of a call that the service rejected at once.
+const MAX_IMMEDIATE_REJECTION: Duration = Duration::from_millis(100);
+/// Shortest duration of a call that the service rejected after a wait in its queue.
 const MIN_QUEUE_TIMEOUT: Duration = Duration::from_secs(1);
 /// Largest accepted list in bytes.
 const MAX_LIST_BYTES: usize = 4 << 20;
@@ -53,9 +55,16 @@
 }
 
 impl CallError {
-    /// Returns whether the service rejected the call because of its load or of an outage.
-    fn is_rejection(&self) -> bool {
-        matches!(self, Self::Status(429 | 503 | 504))
+    /// Returns how the service rejected a call that failed with this error after `duration`, if it did.
+    fn rejection(&self, call: Call, duration: Duration) -> Option<Rejection> {
+        match self {
+            Self::Status(429 | 503 | 504) if duration <= MAX_IMMEDIATE_REJECTION => Some(Rejection::AtOnce),
+            // A watch may also end after a wait because the service went down.
+            Self::Status(429 | 503 | 504) if call.wait.is_zero() && duration >= MIN_QUEUE_TIMEOUT => {
+                Some(Rejection::AfterWait)
+            }
+            _ => None,
+        }
     }
 }
 
@@ -272,9 +281,8 @@
                 if matches!(error, CallError::Status(400..500)) {
                     self.watch_state.borrow_mut().use_list_endpoint = true;
                 }
-                let timed_out_in_queue =
-                    error.is_rejection() && call.wait.is_zero() && duration >= MIN_QUEUE_TIMEOUT;
-                self.schedule.borrow_mut().record_failure(FailedCall { duration, timed_out_in_queue });
+                let rejection = error.rejection(call, duration);
+                self.schedule.borrow_mut().record_failure(FailedCall { duration, rejection });
             }
         }
     }
--- a/crates/http/src/discovery/schedule.rs
+++ b/crates/http/src/discovery/schedule.rs
@@ -6,7 +6,7 @@
 //!
 //! Retries must not keep the service overloaded: a service that works on calls after their callers have given up
 //! answers nobody as long as more calls arrive than it can complete. So the interval between retries of one proxy
-//! grows to most of the bound, and beyond it for a large fleet whose calls time out in the queue of the service.
+//! grows to most of the bound, and beyond it for a large fleet whose service shows that it is overloaded.
 
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -53,7 +53,7 @@
     pub overload_timeout: Duration,
     /// Longest time from the start of a failed call to the start of the next one.
     pub max_retry_interval: Duration,
-    /// The same after repeated calls that timed out in the queue of the service.
+    /// The same while the service is overloaded.
     pub max_overload_interval: Duration,
 }
 
@@ -114,13 +114,22 @@
     }
 }
 
+/// How the service rejected a call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Rejection {
+    /// At once: its queue is full, or it is down.
+    AtOnce,
+    /// After the call had waited in its queue for too long: it is overloaded or down.
+    AfterWait,
+}
+
 /// How a call failed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct FailedCall {
     /// The time from its start to its failure.
     pub duration: Duration,
-    /// The service held the call in its queue and rejected it after too long, which shows that it is overloaded.
-    pub timed_out_in_queue: bool,
+    /// How the service rejected the call, unless the call failed otherwise.
+    pub rejection: Option<Rejection>,
 }
 
 /// The timing of one call.
@@ -140,8 +149,10 @@
     timing: CallTiming,
     rng: SmallRng,
     failures: u32,
-    /// How many of the failed calls timed out in the queue of the service.
-    queue_timeouts: u32,
+    /// How many of the failed calls were rejected at once.
+    rejected_at_once: u32,
+    /// How many of the failed calls were rejected after a wait.
+    rejected_after_wait: u32,
     last_failed_duration: Duration,
 }
 
@@ -152,7 +163,8 @@
             timing,
             rng: SmallRng::seed_from_u64(seed),
             failures: 0,
-            queue_timeouts: 0,
+            rejected_at_once: 0,
+            rejected_after_wait: 0,
             last_failed_duration: Duration::ZERO,
         }
     }
@@ -165,13 +177,20 @@
     /// Records a call that returned a valid list.
     pub fn record_success(&mut self) {
         self.failures = 0;
-        self.queue_timeouts = 0;
+        self.rejected_at_once = 0;
+        self.rejected_after_wait = 0;
     }
 
     /// Records a call that failed, was rejected or timed out.
     pub fn record_failure(&mut self, failed: FailedCall) {
         self.failures = self.failures.saturating_add(1);
-        self.queue_timeouts = self.queue_timeouts.saturating_add(u32::from(failed.timed_out_in_queue));
+        match failed.rejection {
+            Some(Rejection::AtOnce) => self.rejected_at_once = self.rejected_at_once.saturating_add(1),
+            Some(Rejection::AfterWait) => {
+                self.rejected_after_wait = self.rejected_after_wait.saturating_add(1)
+            }
+            None => {}
+        }
         self.last_failed_duration = failed.duration;
     }
 
@@ -206,8 +225,10 @@
     fn retry_interval_range(&self) -> (Duration, Duration) {
         let longest = self.timing.max_retry_interval;
         let steady = |interval: Duration| (interval.mul_f64(1.0 - RETRY_JITTER_FRACTION), interval);
-        if let Some(repeated) = self.queue_timeouts.checked_sub(1) {
-            let doubled = longest.saturating_mul(1 << repeated.min(MAX_DOUBLINGS));
+        // A service that is down rejects calls in one way. Only an overloaded one does it in both, repeatedly.
+        let overload = self.rejected_at_once.min(self.rejected_after_wait);
+        if overload > 1 {
+            let doubled = longest.saturating_mul(1 << (overload - 1).min(MAX_DOUBLINGS));
             return steady(doubled.min(self.timing.max_overload_interval));
         }
         let steps = self.failures.saturating_sub(1).min(MAX_DOUBLINGS);
--- a/crates/http/tests/discovery_herd.rs
+++ b/crates/http/tests/discovery_herd.rs
@@ -1,7 +1,7 @@
 //! Simulates many proxies that call one serial discovery service after an outage or an address change, in
 //! virtual time with the real schedule. Every proxy must get the list within the staleness bound.
 
-use dewpier_http::discovery::schedule::{Call, CallTiming, FailedCall, STALENESS_BOUND, Schedule};
+use dewpier_http::discovery::schedule::{Call, CallTiming, FailedCall, Rejection, STALENESS_BOUND, Schedule};
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, VecDeque};
 use std::time::Duration;
@@ -87,9 +87,14 @@
                 if calls[i] == (number, true) && received_after[i].is_none() {
                     calls[i].1 = false;
                     let duration = now - call_started_at[i];
-                    let timed_out_in_queue =
-                        matches!(event, CallEvent::Rejected(..)) && duration == scenario.queue_timeout;
-                    schedules[i].record_failure(FailedCall { duration, timed_out_in_queue });
+                    let rejection = match event {
+                        CallEvent::Rejected(..) if duration.is_zero() => Some(Rejection::AtOnce),
+                        CallEvent::Rejected(..) if duration == scenario.queue_timeout => {
+                            Some(Rejection::AfterWait)
+                        }
+                        _ => None,
+                    };
+                    schedules[i].record_failure(FailedCall { duration, rejection });
                     next[i] = schedules[i].next_fetch();
                     events.push(Reverse((now + next[i].delay, CallEvent::Started(i))));
                 }
--- a/crates/http/tests/discovery_schedule.rs
+++ b/crates/http/tests/discovery_schedule.rs
@@ -1,14 +1,15 @@
 //! Tests that the intervals of discovery calls keep changes within the staleness bound, however calls fail.
 
-use dewpier_http::discovery::schedule::{Call, CallTiming, FailedCall, STALENESS_BOUND, Schedule};
+use dewpier_http::discovery::schedule::{Call, CallTiming, FailedCall, Rejection, STALENESS_BOUND, Schedule};
 use proptest::prelude::*;
 use std::time::Duration;
 
 /// A call that is rejected at once.
-const REJECTED_AT_ONCE: FailedCall = FailedCall { duration: Duration::ZERO, timed_out_in_queue: false };
+const REJECTED_AT_ONCE: FailedCall =
+    FailedCall { duration: Duration::ZERO, rejection: Some(Rejection::AtOnce) };
 /// A call that the service rejected after it was queued for too long.
 const TIMED_OUT_IN_QUEUE: FailedCall =
-    FailedCall { duration: Duration::from_secs(2), timed_out_in_queue: true };
+    FailedCall { duration: Duration::from_secs(2), rejection: Some(Rejection::AfterWait) };
 
 /// Time for the response itself, for applying the change, and for a busy host.
 const RESERVE: Duration = Duration::from_millis(400);
@@ -55,33 +56,47 @@
     let mut schedule = Schedule::new(CallTiming::SHARED_SERVICE.with_fleet_size(300), 5);
     (0..9).for_each(|_| schedule.record_failure(REJECTED_AT_ONCE));
     for duration in [0, 1, 2, 3].map(Duration::from_secs) {
-        schedule.record_failure(FailedCall { duration, timed_out_in_queue: false });
+        schedule.record_failure(FailedCall { duration, rejection: None });
         let interval = (duration + schedule.next_fetch().delay).as_secs_f64();
         assert!((3.3..=4.8).contains(&interval), "{interval} after {duration:?}");
     }
-    schedule.record_failure(FailedCall { duration: Duration::from_secs(9), timed_out_in_queue: false });
+    schedule.record_failure(FailedCall { duration: Duration::from_secs(9), rejection: None });
     let pause = schedule.next_fetch().delay.as_secs_f64();
     assert!((0.2..=0.3).contains(&pause), "{pause}");
 }
 
+/// Returns the mean time in seconds between the calls of one of `proxies` proxies that fail in these ways by turns.
+fn mean_interval(proxies: usize, failures: &[FailedCall]) -> f64 {
+    const CALLS: usize = 100;
+    let mut schedule = Schedule::new(CallTiming::SHARED_SERVICE.with_fleet_size(proxies), 5);
+    let mut next_interval = |failed: &FailedCall| {
+        schedule.record_failure(*failed);
+        (failed.duration + schedule.next_fetch().delay).as_secs_f64()
+    };
+    // The interval has grown after ten failures.
+    let intervals = failures.iter().cycle().map(&mut next_interval).skip(10).take(CALLS);
+    intervals.sum::<f64>() / CALLS as f64
+}
+
+#[test]
+fn service_that_is_down_is_called_as_often_as_the_staleness_bound_needs() {
+    for (proxies, longest) in [(5, 1.2), (10, 1.2), (20, 2.4), (40, 4.8), (300, 4.8), (900, 4.8)] {
+        for failure in [REJECTED_AT_ONCE, TIMED_OUT_IN_QUEUE] {
+            let longest = f64::max(longest, failure.duration.as_secs_f64() + 0.3);
+            let interval = mean_interval(proxies, &[failure]);
+            assert!(
+                (0.7 * longest..longest).contains(&interval),
+                "{proxies} proxies, {failure:?}: {interval}"
+            );
+        }
+    }
+}
+
 #[test]
-fn fleet_of_any_size_sends_an_unavailable_service_a_bounded_rate_of_calls() {
-    for proxies in [10, 40, 300, 900] {
-        let mut schedule = Schedule::new(CallTiming::SHARED_SERVICE.with_fleet_size(proxies), 5);
-        let mut time_of_calls = |failed: FailedCall, calls: u32| -> f64 {
-            schedule.record_success();
-            let interval = |_| {
-                schedule.record_failure(failed);
-                (failed.duration + schedule.next_fetch().delay).as_secs_f64()
-            };
-            (0..calls).map(interval).skip(4).sum()
-        };
-        let rate = |time: f64| 100.0 * proxies as f64 / time;
-        let (down, overloaded) =
-            (rate(time_of_calls(REJECTED_AT_ONCE, 104)), rate(time_of_calls(TIMED_OUT_IN_QUEUE, 104)));
-        // Staleness limits the longest interval while the service is down.
-        assert!(down <= (proxies as f64 / 3.3).max(12.0), "{proxies}: {down}");
-        assert!(overloaded <= proxies as f64 / (0.33 * proxies as f64).min(13.9), "{proxies}: {overloaded}");
+fn overloaded_service_is_called_more_rarely_by_a_large_fleet() {
+    for (proxies, longest) in [(5, 4.8), (20, 10.0), (40, 20.0), (300, 20.0), (900, 20.0)] {
+        let interval = mean_interval(proxies, &[REJECTED_AT_ONCE, TIMED_OUT_IN_QUEUE]);
+        assert!((0.7 * longest..longest).contains(&interval), "{proxies} proxies: {interval}");
     }
 }
 
@@ -103,8 +118,10 @@
     Answered(f64),
     /// Rejected or reset after this fraction of its timeout.
     Failed(f64),
+    /// Rejected at once, because the queue is full or the service is down.
+    RejectedAtOnce,
     /// Rejected after this fraction of its timeout, because it was queued for too long.
-    TimedOutInQueue(f64),
+    RejectedAfterWait(f64),
     /// Not answered until its timeout.
     NoResponse,
 }
@@ -112,15 +129,16 @@
 /// Makes the next call of a watch, records its result and returns when it ends.
 fn run_call(schedule: &mut Schedule, call_result: CallResult, now: Duration) -> Duration {
     let call: Call = schedule.next_watch();
-    let (fraction, timed_out_in_queue) = match call_result {
-        CallResult::Answered(fraction) | CallResult::Failed(fraction) => (fraction, false),
-        CallResult::TimedOutInQueue(fraction) => (fraction, true),
-        CallResult::NoResponse => (1.0, false),
+    let (fraction, rejection) = match call_result {
+        CallResult::Answered(fraction) | CallResult::Failed(fraction) => (fraction, None),
+        CallResult::RejectedAtOnce => (0.0, Some(Rejection::AtOnce)),
+        CallResult::RejectedAfterWait(fraction) => (fraction, Some(Rejection::AfterWait)),
+        CallResult::NoResponse => (1.0, None),
     };
     let duration = call.timeout.mul_f64(fraction);
     match call_result {
         CallResult::Answered(_) => schedule.record_success(),
-        _ => schedule.record_failure(FailedCall { duration, timed_out_in_queue }),
+        _ => schedule.record_failure(FailedCall { duration, rejection }),
     }
     now + call.delay + duration
 }
@@ -129,7 +147,8 @@
     prop_oneof![
         (0.0..1.0f64).prop_map(CallResult::Answered),
         (0.0..1.0f64).prop_map(CallResult::Failed),
-        (0.0..1.0f64).prop_map(CallResult::TimedOutInQueue),
+        Just(CallResult::RejectedAtOnce),
+        (0.0..1.0f64).prop_map(CallResult::RejectedAfterWait),
         Just(CallResult::NoResponse),
     ]
 }
