--- a/crates/dewpier/src/platform.rs
+++ b/crates/dewpier/src/platform.rs
@@ -67,6 +67,7 @@
         &config.settings,
         config.seed,
         engine.clone(),
+        metrics.clone(),
     );
     if predecessor.is_running() {
         // Starts the watch without the random delay that spreads proxies starting together: a successor starts alone,
--- a/crates/http/src/discovery/mod.rs
+++ b/crates/http/src/discovery/mod.rs
@@ -10,6 +10,7 @@
 use crate::config::WireSettings;
 use crate::connection::{self, Connection};
 use crate::listing::{BackendIds, RawList};
+use dewpier_operate::metrics::Metrics;
 use gannetproxy::Settings;
 use gannetproxy::engine::{BackendListUpdate, Engine, ListRequest};
 use http_body_util::{BodyExt, Limited};
@@ -103,6 +104,7 @@
     schedule: RefCell<Schedule>,
     /// When the service last returned a list.
     last_response_at: Cell<Instant>,
+    metrics: Rc<Metrics>,
 }
 
 impl Discovery {
@@ -115,6 +117,7 @@
         settings: &Settings,
         seed: u64,
         engine: Rc<Engine<HttpUpstream>>,
+        metrics: Rc<Metrics>,
     ) -> Rc<Self> {
         let timing = match settings.must_watch {
             true => CallTiming::SHARED_SERVICE.with_fleet_size(settings.instance_count),
@@ -134,6 +137,7 @@
             state_changed: Notify::new(),
             schedule: RefCell::new(Schedule::new(timing.with_max_wait(max_wait), seed)),
             last_response_at: Cell::new(Instant::now()),
+            metrics,
             engine,
         });
         let weak_discovery = Rc::downgrade(&discovery);
@@ -281,6 +285,7 @@
                 if matches!(error, CallError::Status(400..500)) {
                     self.watch_state.borrow_mut().use_list_endpoint = true;
                 }
+                self.metrics.count_discovery_failure();
                 let rejection = error.rejection(call, duration);
                 self.schedule.borrow_mut().record_failure(FailedCall { duration, rejection });
             }
--- a/crates/operate/src/calls.rs
+++ b/crates/operate/src/calls.rs
@@ -110,6 +110,7 @@
     line(format_args!("pending"), metrics.pending());
     line(format_args!("members"), backends.listed as u64);
     line(format_args!("members_unavailable"), backends.avoided as u64);
+    line(format_args!("discovery_failures"), metrics.discovery_failures());
     text.push_str("END\n");
     text
 }
@@ -162,6 +163,7 @@
         let (completed, _open) = (metrics.begin_request(0), metrics.begin_request(1));
         completed.end(crate::metrics::RequestOutcome::Completed);
         metrics.count_attempt();
+        metrics.count_discovery_failure();
         let text = format_metrics(&metrics, BackendCounts { listed: 5, avoided: 2 });
         let lines: Vec<_> = text.lines().collect();
         for line in [
@@ -173,6 +175,7 @@
             "edge_relay.pending=1",
             "edge_relay.members=5",
             "edge_relay.members_unavailable=2",
+            "edge_relay.discovery_failures=1",
         ] {
             assert!(lines.contains(&line), "{line} in {text}");
         }
--- a/crates/operate/src/metrics.rs
+++ b/crates/operate/src/metrics.rs
@@ -55,6 +55,7 @@
     received: Cell<u64>,
     pending: Cell<u64>,
     attempts: AttemptCounter,
+    discovery_failures: Cell<u64>,
 }
 
 /// A request that has begun and not ended. Dropping it without [`OpenRequest::end`] counts it as failed.
@@ -89,8 +90,14 @@
     /// Creates zeroed counters for classes with these names.
     pub fn new(class_names: Vec<String>) -> Rc<Self> {
         let ended = RefCell::new(vec![ClassCounters::default(); class_names.len()]);
-        let (received, pending) = (Cell::new(0), Cell::new(0));
-        Rc::new(Self { class_names, ended, received, pending, attempts: AttemptCounter::default() })
+        Rc::new(Self {
+            class_names,
+            ended,
+            received: Cell::default(),
+            pending: Cell::default(),
+            attempts: AttemptCounter::default(),
+            discovery_failures: Cell::default(),
+        })
     }
 
     /// Counts a received request of the class with this index.
@@ -115,6 +122,16 @@
         self.attempts.0.load(Ordering::Relaxed)
     }
 
+    /// Counts a call to the discovery service that returned no valid list.
+    pub fn count_discovery_failure(&self) {
+        self.discovery_failures.set(self.discovery_failures.get() + 1);
+    }
+
+    /// Number of calls to the discovery service that returned no valid list.
+    pub fn discovery_failures(&self) -> u64 {
+        self.discovery_failures.get()
+    }
+
     /// Number of requests received, ended or not.
     pub fn received(&self) -> u64 {
         self.received.get()
