--- a/crates/http/src/discovery/schedule.rs
+++ b/crates/http/src/discovery/schedule.rs
@@ -1,8 +1,8 @@
 //! Schedules the calls to the discovery service. No I/O and no clock.
 //!
 //! A change must be applied within [`STALENESS_BOUND`] after the service has it and is reachable, also if
-//! earlier calls failed, unless the service is overloaded. [`CallTiming::max_staleness`] is the sum of all intervals in the worst
-//! case.
+//! earlier calls failed, unless the service is overloaded. [`CallTiming::max_staleness`] is the sum of all
+//! intervals in the worst case.
 //!
 //! Retries must not keep the service overloaded: a service that works on calls after their callers have given up
 //! answers nobody as long as more calls arrive than it can complete. So the interval between retries of one proxy
@@ -24,8 +24,8 @@
 const RETRY_GROWTH: u32 = 4;
 /// Fraction by which an interval that grows no further is shortened at random.
 const RETRY_JITTER_FRACTION: f64 = 0.3;
-/// Bound of the number of steps by which an interval grows.
-const MAX_DOUBLINGS: u32 = 8;
+/// Largest number of steps by which an interval grows.
+const MAX_GROWTH_STEPS: u32 = 8;
 /// Longest retry interval per proxy of the fleet.
 const RETRY_INTERVAL_PER_PROXY: Duration = Duration::from_millis(120);
 /// Longest retry interval of any fleet. Leaves enough of [`STALENESS_BOUND`] for the response.
@@ -228,10 +228,10 @@
         // A service that is down rejects calls in one way. Only an overloaded one does it in both, repeatedly.
         let overload = self.rejected_at_once.min(self.rejected_after_wait);
         if overload > 1 {
-            let doubled = longest.saturating_mul(1 << (overload - 1).min(MAX_DOUBLINGS));
+            let doubled = longest.saturating_mul(1 << (overload - 1).min(MAX_GROWTH_STEPS));
             return steady(doubled.min(self.timing.max_overload_interval));
         }
-        let steps = self.failures.saturating_sub(1).min(MAX_DOUBLINGS);
+        let steps = self.failures.saturating_sub(1).min(MAX_GROWTH_STEPS);
         let step = INITIAL_RETRY_INTERVAL.saturating_mul(RETRY_GROWTH.saturating_pow(steps));
         match step.div_f64(f64::from(RETRY_GROWTH)) {
             shortest if shortest >= longest => steady(longest),
