--- a/src/logic.rs
+++ b/src/logic.rs
@@ -24,7 +24,6 @@
 /// Excess of unanswered calls, in standard deviations, that counts as chance while the mean excess is high.
 const MIN_EXCESS_TOLERANCE: f64 = 0.5;
 /// Minimum standard deviation of the number of unanswered calls, as a fraction of the expected number.
-/// A larger one tolerates an excess for good: an overloaded later tier then keeps the load that slowed it down.
 const MIN_DEVIATION_FRACTION: f64 = 0.2;
 /// Decrease of the excess tolerance per standard deviation of mean excess above [`LOW_MEAN_EXCESS`].
 const TOLERANCE_DECREASE: f64 = 4.0;
@@ -35,11 +34,8 @@
 /// A member this many times slower than the best one is an outlier, whose calls don't indicate an overload.
 const OUTLIER_SLOWNESS_RATIO: f64 = 2.5;
 /// Calls in flight per backend up to which there is no pressure: one slow backend can cause that many.
-/// With fewer, chance leads to rejections where few balancers face few backends, and rejected clients that return at
-/// once keep the load up. Harmful where backends can't hold as many calls.
 const MIN_OVERLOAD_CALLS_PER_BACKEND: f64 = 2.0;
 /// Time constant of the answer rate, in mean answer times; short enough to follow a loss of capacity.
-/// The send rate remembers the time before an overload and would take its load for the usual one.
 const ANSWER_RATE_TIME_CONSTANT_ANSWER_TIMES: f64 = 8.0;
 /// A call is not started with less time left than this fraction of the normal answer time.
 const MIN_TIME_LEFT_FRACTION: f64 = 0.6;
@@ -49,8 +45,6 @@
 const MAX_T1_FRACTION: f64 = 0.4;
 /// An attempt is lost once its backend has answered another one sent this many normal answer times later.
 /// Overloaded backends answer in about the order of arrival, so their attempts don't count as lost.
-/// Otherwise calls that a backend dropped wait for all of their time, and the unsafe ones reduce the repeat
-/// probability of all others.
 const LOST_ANSWER_TIMES: f64 = 8.0;
 /// Jitter of T1 as a fraction in both directions, which keeps balancers from repeating in step.
 const T1_JITTER_FRACTION: f64 = 0.1;
@@ -73,18 +67,14 @@
 /// Time constant with which slowness decays after a failure, as a fraction of that of the send rate.
 const SLOWNESS_TIME_CONSTANT_FRACTION: f64 = 0.5;
 /// Time constant with which slowness decays without a recent failure, in mean answer times, if shorter.
-/// A backend whose first calls met a busy moment must not be avoided for as long as one that failed.
 const SLOW_TIME_CONSTANT_ANSWER_TIMES: f64 = 100.0;
 /// Maximum wait for admission under pressure, as a fraction of the call's time left.
-/// Where few calls are in flight, an excess passes within a few answers.
 const ADMISSION_WAIT_FRACTION: f64 = 0.25;
 /// Minimum subset size in inner tiers. Smaller random subsets often hold only slow backends.
 const MIN_SUBSET_SIZE: usize = 5;
-/// Minimum subset size in the first tier, where more members even out what each of them happens to get.
+/// Minimum subset size in the first tier.
 const MIN_FIRST_TIER_SUBSET_SIZE: usize = 3;
 /// Subset members per average call in flight, where connections are free and where they have a cost.
-/// More members make slow backends easier to tell; fewer reuse connections and stay within the connection limits of
-/// backends.
 const MEMBERS_PER_CALL: [f64; 2] = [1.0, 0.25];
 /// Minimum number of subset members in other zones, where crossing zones has a cost.
 const REMOTE_MEMBERS: usize = 2;
