Discovery: log received lists and the number and age of cancelled calls, and count these

Need: in the incident no line told which list a process had applied, and which call it had ended how long after its start.

Change: each line names its call. A list that brings entries is logged with its version, the number of entries and of those that take no new requests. A cancelled call is logged with its age and counted as discovery_cancelled.

--- a/crates/http/src/discovery/mod.rs
+++ b/crates/http/src/discovery/mod.rs
@@ -104,6 +104,8 @@
     schedule: RefCell<Schedule>,
     /// When the service last returned a list.
     last_response_at: Cell<Instant>,
+    /// Number of calls so far, which identifies a call in the log.
+    calls: Cell<u64>,
     metrics: Rc<Metrics>,
 }
 
@@ -137,6 +139,7 @@
             state_changed: Notify::new(),
             schedule: RefCell::new(Schedule::new(timing.with_max_wait(max_wait), seed)),
             last_response_at: Cell::new(Instant::now()),
+            calls: Cell::new(0),
             metrics,
             engine,
         });
@@ -196,10 +199,13 @@
                 continue;
             };
             let call_started_at = Instant::now() + call.delay;
+            self.calls.set(self.calls.get() + 1);
             tokio::select! {
                 biased; // drops an answer that is obsolete
                 () = self.state_changed.notified() => {
-                    tracing::info!(%path, "discovery call cancelled, as another one is wanted");
+                    let age_ms = Instant::now().saturating_duration_since(call_started_at).as_millis();
+                    self.metrics.count_cancelled_discovery_call();
+                    tracing::info!(call = self.calls.get(), %path, age_ms, "discovery call cancelled");
                     connection = None;
                 }
                 response = call_after_delay(address, &path, call, &mut connection) => {
@@ -227,16 +233,18 @@
         Some((state.address, path, call))
     }
 
-    /// Logs a failed call, and the first list after failures. A quiet watch logs nothing.
+    /// Logs a failed call, the first list after failures, and lists that change something. A quiet watch logs nothing.
     fn log_response(&self, path: &str, duration: Duration, response: &Result<RawList, CallError>) {
+        let call = self.calls.get();
         let failures = self.schedule.borrow().failures();
         let duration_ms = duration.as_millis();
         let list_age_ms = self.last_response_at.get().elapsed().as_millis();
         match response {
             Ok(list) => {
+                let generation = list.generation;
                 if failures > 0 {
-                    let generation = list.generation;
                     tracing::info!(
+                        call,
                         path,
                         duration_ms,
                         failures,
@@ -245,14 +253,16 @@
                         "discovery answers again"
                     );
                 }
+                if !list.instances.is_empty() {
+                    let (entries, full) = (list.instances.len(), list.reset);
+                    let unavailable = list.instances.iter().filter(|entry| !entry.is_serving()).count();
+                    tracing::info!(call, generation, full, entries, unavailable, "backend list received");
+                }
                 self.last_response_at.set(Instant::now());
             }
             Err(error) => {
                 let failures = failures.saturating_add(1);
-                tracing::warn!(
-                    %error, path, duration_ms, failures, list_age_ms,
-                    "discovery call failed; the last list stays in use"
-                );
+                tracing::warn!(call, %error, path, duration_ms, failures, list_age_ms, "discovery call failed");
             }
         }
     }
--- a/crates/http/src/listing.rs
+++ b/crates/http/src/listing.rs
@@ -33,7 +33,14 @@
     started_at_ms: f64,
 }
 
-#[derive(Clone, Copy, Debug, Deserialize)]
+impl RawEntry {
+    /// Returns whether the backend takes new requests.
+    pub fn is_serving(&self) -> bool {
+        self.lifecycle == Lifecycle::Serving
+    }
+}
+
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Eq)]
 #[serde(rename_all = "UPPERCASE")]
 enum Lifecycle {
     Serving,
--- a/crates/operate/src/calls.rs
+++ b/crates/operate/src/calls.rs
@@ -111,6 +111,7 @@
     line(format_args!("members"), backends.listed as u64);
     line(format_args!("members_unavailable"), backends.avoided as u64);
     line(format_args!("discovery_failures"), metrics.discovery_failures());
+    line(format_args!("discovery_cancelled"), metrics.cancelled_discovery_calls());
     text.push_str("END\n");
     text
 }
@@ -176,6 +177,7 @@
             "edge_relay.members=5",
             "edge_relay.members_unavailable=2",
             "edge_relay.discovery_failures=1",
+            "edge_relay.discovery_cancelled=0",
         ] {
             assert!(lines.contains(&line), "{line} in {text}");
         }
--- a/crates/operate/src/metrics.rs
+++ b/crates/operate/src/metrics.rs
@@ -56,6 +56,7 @@
     pending: Cell<u64>,
     attempts: AttemptCounter,
     discovery_failures: Cell<u64>,
+    cancelled_discovery_calls: Cell<u64>,
 }
 
 /// A request that has begun and not ended. Dropping it without [`OpenRequest::end`] counts it as failed.
@@ -97,6 +98,7 @@
             pending: Cell::default(),
             attempts: AttemptCounter::default(),
             discovery_failures: Cell::default(),
+            cancelled_discovery_calls: Cell::default(),
         })
     }
 
@@ -132,6 +134,16 @@
         self.discovery_failures.get()
     }
 
+    /// Counts a call to the discovery service that the proxy ended before its answer or timeout.
+    pub fn count_cancelled_discovery_call(&self) {
+        self.cancelled_discovery_calls.set(self.cancelled_discovery_calls.get() + 1);
+    }
+
+    /// Number of calls to the discovery service that the proxy ended before their answer or timeout.
+    pub fn cancelled_discovery_calls(&self) -> u64 {
+        self.cancelled_discovery_calls.get()
+    }
+
     /// Number of requests received, ended or not.
     pub fn received(&self) -> u64 {
         self.received.get()
