--- a/crates/dewpier/tests/discovery_crowd.rs
+++ b/crates/dewpier/tests/discovery_crowd.rs
@@ -2,12 +2,12 @@
 
 mod common;
 
+use common::serial_discovery::{SerialQueue, watch_wait};
 use common::sockets::*;
 use dewpier_http::discovery::schedule::STALENESS_BOUND;
 use serde_json::json;
+use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::mpsc::{SyncSender, TrySendError, sync_channel};
-use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 const PROXIES: usize = 40;
@@ -24,38 +24,6 @@
 /// The version of the list in which the old backend drains.
 const VERSION: u64 = 2;
 
-/// A queued call; the sender is used once the service has completed it.
-type QueuedCall = SyncSender<()>;
-
-/// Starts a worker that completes one call after another, and returns its queue.
-fn start_worker() -> SyncSender<QueuedCall> {
-    let (queue, calls) = sync_channel::<QueuedCall>(QUEUE_LIMIT);
-    std::thread::spawn(move || {
-        for call in calls {
-            std::thread::sleep(SERVICE_TIME);
-            let _ = call.try_send(()); // the caller may have been rejected
-        }
-    });
-    queue
-}
-
-/// Queues a call and returns whether it was completed before the service rejected it.
-fn is_completed(queue: &Mutex<SyncSender<QueuedCall>>) -> bool {
-    let (complete, completed) = sync_channel(1);
-    let queued = queue.lock().unwrap().try_send(complete);
-    match queued {
-        Ok(()) => completed.recv_timeout(QUEUE_TIMEOUT).is_ok(),
-        Err(TrySendError::Full(_) | TrySendError::Disconnected(_)) => false,
-    }
-}
-
-/// Returns how long a watch in this request line waits for changes.
-fn watch_wait(start_line: &str) -> Duration {
-    let digits = start_line.split("timeout_ms=").nth(1).unwrap_or_default();
-    let digits: String = digits.chars().take_while(char::is_ascii_digit).collect();
-    Duration::from_millis(digits.parse().unwrap_or_default())
-}
-
 #[test]
 fn drain_reaches_every_proxy_in_time_after_an_outage_of_a_slow_discovery() {
     let [old, new] = ["old", "new"].map(ScriptedServer::always_ok);
@@ -65,7 +33,8 @@
         &[list_entry("s-0", old.address, "DRAINING"), list_entry("s-new", new.address, "SERVING")],
     );
     let is_up = Arc::new(AtomicBool::new(false));
-    let (service_is_up, queue) = (is_up.clone(), Mutex::new(start_worker()));
+    let (service_is_up, queue) =
+        (is_up.clone(), SerialQueue::start(SERVICE_TIME, QUEUE_TIMEOUT, QUEUE_LIMIT));
     let discovery = ScriptedServer::new(move |_, message| {
         let rejected = || ScriptedReply::Respond(format_response("503 Service Unavailable", ""));
         if !service_is_up.load(Ordering::SeqCst) {
@@ -76,7 +45,7 @@
             let unchanged = discovery_list(VERSION, false, &[]).to_string();
             return ScriptedReply::Respond(format_response("200 OK", &unchanged));
         }
-        match is_completed(&queue) {
+        match queue.is_completed() {
             true => ScriptedReply::Respond(format_response("200 OK", &list.to_string())),
             false => rejected(),
         }
