Discovery: a list with an older version is dropped while the service has a newer one

Need: an answer with an older version than the list in use was applied, which brings servers back that drain or are gone. A service behind a lagging replica answers so.

Change: such an answer counts as failed and the whole list is requested. A service that returns nothing newer for 4 s has restarted its numbering, and its whole list applies. Changes with an older version never do. Versions of different services are not compared, as before.

Measured: older_list_is_dropped_until_the_service_has_returned_it_for_some_time and older_changes_never_apply fail without the change; eight proxies bear five such answers in a row, 300 and 900 bear two (discovery_calls.rs).

--- a/crates/http/src/discovery/calls.rs
+++ b/crates/http/src/discovery/calls.rs
@@ -2,7 +2,8 @@
 //!
 //! A call that is out is never cancelled for a newer one: the service may work on it all the same, and its answer may
 //! be the first to come. The answer of the service that was asked last takes precedence; until it comes, answers of
-//! previous services apply.
+//! previous services apply. An answer with an older version than that of the list in use is dropped if both are of the
+//! same service.
 //!
 //! Times are measured from any fixed moment.
 
@@ -17,6 +18,8 @@
 const MIN_SUPERSEDING_INTERVAL: Duration = Duration::from_secs(2);
 /// Shortest time between the start of an answered call and of the next one.
 const MIN_CALL_INTERVAL: Duration = Duration::from_millis(20);
+/// Time for which older lists are dropped. A service that still returns them has restarted its numbering.
+const OLDER_LIST_TIMEOUT: Duration = Duration::from_secs(4);
 
 /// Identifies a call of one proxy.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -59,6 +62,8 @@
     Apply,
     /// A service that was asked later has answered already, or another answer made the call obsolete.
     Obsolete,
+    /// The list is older than the one in use.
+    Older,
     /// The whole list was requested, and the answer contains changes.
     NotFull,
 }
@@ -106,6 +111,8 @@
     last_requested: (u64, bool),
     /// When a call was last started because something else was requested.
     last_superseding_at: Option<Duration>,
+    /// When the service first returned an older list, unless it has returned a newer one since.
+    older_since: Option<Duration>,
     next_id: u64,
 }
 
@@ -125,6 +132,7 @@
             last_call: LastCall::Answered { next_at: Duration::ZERO },
             last_requested: (0, false),
             last_superseding_at: None,
+            older_since: None,
             next_id: 0,
         }
     }
@@ -154,6 +162,7 @@
         self.is_watching = true;
         self.needs_full_list = false;
         self.use_list_endpoint = false;
+        self.older_since = None;
         self.schedule.record_success();
         true
     }
@@ -202,6 +211,12 @@
             self.reject_partial_list(pending, now);
             return Verdict::NotFull;
         }
+        // Versions of different services are not compared.
+        let is_older = pending.service == self.listing_service && version < self.version;
+        if is_older && !self.accepts_older_list(is_full, now) {
+            self.fail(pending, CallFailure::InvalidResponse, now);
+            return Verdict::Older;
+        }
         self.apply(pending, version, is_full);
         Verdict::Apply
     }
@@ -241,7 +256,8 @@
         if self.is_superseded() {
             self.last_superseding_at = Some(now);
         }
-        let is_full = self.needs_full_list || self.listing_service != self.service;
+        let is_full =
+            self.needs_full_list || self.older_since.is_some() || self.listing_service != self.service;
         let is_watch = !is_full && self.schedule.failures() == 0;
         let wait = if is_watch { self.schedule.draw_wait() } else { Duration::ZERO };
         let timing = self.schedule.timing();
@@ -296,9 +312,17 @@
         self.end_last_call(pending, LastCall::Answered { next_at: pending.next_start() });
     }
 
+    /// Returns whether a list with an older version applies. Changes never do: the whole list is requested in their
+    /// place.
+    fn accepts_older_list(&mut self, is_full: bool, now: Duration) -> bool {
+        let since = *self.older_since.get_or_insert(now);
+        is_full && now.saturating_sub(since) >= OLDER_LIST_TIMEOUT
+    }
+
     fn apply(&mut self, answered: PendingCall, version: u64, is_full: bool) {
         self.listing_service = answered.service;
         self.version = version;
+        self.older_since = None;
         if is_full {
             self.needs_full_list = false;
         }
--- a/crates/http/tests/discovery_calls.rs
+++ b/crates/http/tests/discovery_calls.rs
@@ -43,10 +43,18 @@
     Stalled,
     /// The connection breaks in the middle of the response.
     Cut,
+    OlderVersion,
 }
 
-const FAULTS: [Fault; 6] =
-    [Fault::Refused, Fault::RejectedAtOnce, Fault::RejectedLate, Fault::Silent, Fault::Stalled, Fault::Cut];
+const FAULTS: [Fault; 7] = [
+    Fault::Refused,
+    Fault::RejectedAtOnce,
+    Fault::RejectedLate,
+    Fault::Silent,
+    Fault::Stalled,
+    Fault::Cut,
+    Fault::OlderVersion,
+];
 
 impl Fault {
     /// Returns how a call ends and how long after its start, or after the change if it is out then.
@@ -58,6 +66,7 @@
             Self::Silent => (Duration::MAX, CallEnd::Failed(CallFailure::NoResponse)),
             Self::Stalled => (STALLED_BODY, CallEnd::Failed(CallFailure::InvalidResponse)),
             Self::Cut => (Duration::ZERO, CallEnd::Failed(CallFailure::InvalidResponse)),
+            Self::OlderVersion => (Duration::ZERO, CallEnd::Listed(OLD_VERSION - 1, true)),
         }
     }
 }
@@ -187,7 +196,7 @@
     simulation.run_until(changed_at, unchanged);
     if before == Before::Outage {
         // A service that responds is up, so that the outage itself is silent.
-        let responds = matches!(fault, Fault::Stalled | Fault::Cut);
+        let responds = matches!(fault, Fault::Stalled | Fault::Cut | Fault::OlderVersion);
         let fault = if responds { Fault::Silent } else { fault };
         simulation.end_running_calls(fault.end());
         // Spreads the change over the interval between two calls.
@@ -230,7 +239,7 @@
         Fault::Refused | Fault::RejectedAtOnce => ([5, 2, 2], [3, 0, 0]),
         Fault::RejectedLate | Fault::Silent => ([2, 2, 2], [1, 0, 0]),
         Fault::Stalled => ([3, 2, 2], [2, 0, 0]),
-        Fault::Cut => ([5, 2, 2], [4, 1, 1]),
+        Fault::Cut | Fault::OlderVersion => ([5, 2, 2], [4, 1, 1]),
     };
     let mut differences = Vec::new();
     for fault in FAULTS {
@@ -402,6 +411,45 @@
     }
 }
 
+#[test]
+fn older_list_is_dropped_until_the_service_has_returned_it_for_some_time() {
+    let mut planner = CallPlanner::new(address(1), OLD_VERSION, true, CallTiming::SHARED_SERVICE, 1);
+    let mut now = Duration::ZERO;
+    let mut dropped = 0;
+    loop {
+        let call = match planner.next_step(now) {
+            NextStep::Start(call) => call,
+            NextStep::WaitUntil(at) => {
+                now = at;
+                continue;
+            }
+            NextStep::WaitForEvent => panic!("a dropped list is requested again"),
+        };
+        match planner.record_list(call.id, OLD_VERSION - 1, true, now) {
+            Verdict::Older => dropped += 1,
+            verdict => {
+                assert_eq!(verdict, Verdict::Apply);
+                break;
+            }
+        }
+    }
+    assert!(dropped >= 3 && now >= Duration::from_secs(4), "{dropped} until {now:?}");
+    assert!(now + RESERVE <= STALENESS_BOUND, "{now:?}");
+    assert_eq!(start(&mut planner, now + Duration::from_secs(1)).since, OLD_VERSION - 1);
+}
+
+#[test]
+fn older_changes_never_apply() {
+    let mut planner = CallPlanner::new(address(1), OLD_VERSION, true, CallTiming::SHARED_SERVICE, 1);
+    let watch = start(&mut planner, Duration::ZERO);
+    let now = Duration::from_secs(1);
+    assert_eq!(planner.record_list(watch.id, OLD_VERSION - 1, false, now), Verdict::Older);
+    let NextStep::WaitUntil(at) = planner.next_step(now) else { panic!("the call is repeated later") };
+    let full = start(&mut planner, at);
+    assert!(full.is_full);
+    assert_eq!(planner.record_list(full.id, 1, false, Duration::from_secs(60)), Verdict::NotFull);
+}
+
 #[test]
 fn changes_in_place_of_the_whole_list_are_requested_again_at_the_list_endpoint_and_then_with_pauses() {
     let mut planner = CallPlanner::new(address(1), OLD_VERSION, true, CallTiming::SHARED_SERVICE, 1);
