--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,7 +1,8 @@
 //! The decision module and the engine of a load balancer between services that call each other.
 //!
 //! [`Balancer`] is a state machine without I/O: it receives events with the time at which they happened, and
-//! returns actions. `logic.rs` makes all decisions, and `interface.rs` defines the events, actions and settings.
+//! returns actions. `logic.rs` and the modules in `logic/` make all decisions, and `interface.rs` defines the
+//! events, actions and settings.
 //! [`engine`] connects a balancer to a clock, timers and backends. [`wire`] converts between these types and the
 //! text protocol of the simulator.
 #![forbid(unsafe_code)]
