--- a/src/logic/admission.rs
+++ b/src/logic/admission.rs
@@ -12,6 +12,7 @@
 /// Time over which an unused share of a quota accumulates, in seconds.
 pub(super) const QUOTA_BURST: Time = 1.0;
 /// Maximum wait for admission under pressure, as a fraction of the call's time left.
+/// Where few calls are in flight, an excess passes within a few answers.
 const ADMISSION_WAIT_FRACTION: f64 = 0.25;
 /// Kind of a call's timer that marks the end of its time.
 pub(super) const DEADLINE_TIMER: u64 = 1;
--- a/src/logic/slowness.rs
+++ b/src/logic/slowness.rs
@@ -8,6 +8,8 @@
 
 /// An attempt is lost once its backend has answered another one sent this many normal answer times later.
 /// Overloaded backends answer in about the order of arrival, so their attempts don't count as lost.
+/// Otherwise calls that a backend dropped wait for all of their time, and the unsafe ones reduce the repeat
+/// probability of all others.
 const LOST_ANSWER_TIMES: f64 = 8.0;
 /// EWMA weight of a sample in the slowness of a backend.
 const SLOWNESS_EWMA_WEIGHT: f64 = 0.2;
@@ -20,6 +22,7 @@
 /// Time constant with which slowness decays after a failure, as a fraction of that of the send rate.
 const SLOWNESS_TIME_CONSTANT_FRACTION: f64 = 0.5;
 /// Time constant with which slowness decays without a recent failure, in mean answer times, if shorter.
+/// A backend whose first calls met a busy moment must not be avoided for as long as one that failed.
 const SLOW_TIME_CONSTANT_ANSWER_TIMES: f64 = 100.0;
 /// EWMA weight of a report in the service time of a backend.
 const SERVICE_TIME_EWMA_WEIGHT: f64 = 0.3;
