--- a/src/logic/membership.rs
+++ b/src/logic/membership.rs
@@ -10,8 +10,8 @@
 /// Minimum subset size in the first tier, where more members even out what each of them happens to get.
 const MIN_FIRST_TIER_SUBSET_SIZE: usize = 3;
 /// Subset members per average call in flight, where connections are free and where they have a cost.
-/// More members make slow backends easier to tell; fewer reuse connections and stay within the connection limits of
-/// backends.
+/// More members make slow backends easier to tell; fewer reuse connections and stay within the connection
+/// limits of backends.
 const MEMBERS_PER_CALL: [f64; 2] = [1.0, 0.25];
 /// Minimum number of subset members in other zones, where crossing zones has a cost.
 const REMOTE_MEMBERS: usize = 2;
--- a/src/logic/pressure.rs
+++ b/src/logic/pressure.rs
@@ -8,7 +8,8 @@
 /// Excess of unanswered calls, in standard deviations, that counts as chance while the mean excess is high.
 const MIN_EXCESS_TOLERANCE: f64 = 0.5;
 /// Minimum standard deviation of the number of unanswered calls, as a fraction of the expected number.
-/// A larger one tolerates an excess for good: an overloaded later tier then keeps the load that slowed it down.
+/// A larger one tolerates an excess for good: an overloaded later tier then keeps the load that slowed it
+/// down.
 const MIN_DEVIATION_FRACTION: f64 = 0.2;
 /// Decrease of the excess tolerance per standard deviation of mean excess above [`LOW_MEAN_EXCESS`].
 const TOLERANCE_DECREASE: f64 = 4.0;
@@ -19,8 +20,8 @@
 /// A member this many times slower than the best one is an outlier, whose calls don't indicate an overload.
 const OUTLIER_SLOWNESS_RATIO: f64 = 2.5;
 /// Calls in flight per backend up to which there is no pressure: one slow backend can cause that many.
-/// With fewer, chance leads to rejections where few balancers face few backends, and rejected clients that return at
-/// once keep the load up. Harmful where backends can't hold as many calls.
+/// With fewer, chance leads to rejections where few balancers face few backends, and rejected clients that
+/// return at once keep the load up. Harmful where backends can't hold as many calls.
 const MIN_OVERLOAD_CALLS_PER_BACKEND: f64 = 2.0;
 /// Time constant of the answer rate, in mean answer times; short enough to follow a loss of capacity.
 /// The send rate remembers the time before an overload and would take its load for the usual one.
