HTTP backends: a connection that comes up late is kept for the next request

Need: a connect that takes longer than the connect time-out was thrown away, and the next request connected anew.

Change: a connect goes on for 2 s in a task of its own when its attempt has ended or been dropped, four of them at most per backend. The connection becomes an idle one, two that were never used at most, unless the backend was released meanwhile. Nothing is sent on it for the request that opened it.

The mock backend of late connections moved to the mock servers, and its own connects no longer compete for the accept queue when it opens.

Also here: addresses at which nothing listens yet are reserved ones. A port that was free may become the local port of a client connection before the test binds it (shown by a probe: address in use), which is how idle_clients_do_not_take_the_descriptors_of_others failed.

--- a/crates/dewpier/tests/client_gone.rs
+++ b/crates/dewpier/tests/client_gone.rs
@@ -4,11 +4,11 @@
 mod common;
 
 use common::sockets::*;
+use dewpier_standins::late_backend::LateBackend;
 use dewpier_standins::message::reset_connection;
 use serde_json::json;
-use socket2::{Domain, Socket, Type};
 use std::io::{BufReader, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{TcpListener, TcpStream};
 use std::sync::mpsc::{Receiver, channel};
 use std::time::{Duration, Instant};
 
@@ -108,50 +108,27 @@
     assert_eq!(backend.request_count(), 1);
 }
 
-/// A backend on which connections are established late: its accept queue is full at first.
-struct LateBackend {
-    listener: TcpListener,
-    address: SocketAddr,
-    _queue_fillers: Vec<Socket>,
-}
-
-impl LateBackend {
-    fn start() -> Self {
-        let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
-        socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).unwrap();
-        socket.listen(0).unwrap();
-        let listener = TcpListener::from(socket);
-        let address = listener.local_addr().unwrap();
-        let fillers = (0..4)
-            .map(|_| {
-                let filler = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
-                filler.set_nonblocking(true).unwrap();
-                let _ = filler.connect(&address.into()); // pending or queued
-                filler
-            })
-            .collect();
-        Self { listener, address, _queue_fillers: fillers }
-    }
+/// Time in which a connect has begun once its request was read.
+const CONNECT_STARTED: Duration = Duration::from_millis(200);
 
-    /// Accepts connections for `time` and returns all bytes received on them.
-    fn read_for(self, time: Duration) -> Vec<u8> {
-        self.listener.set_nonblocking(true).unwrap();
-        let (mut streams, mut received, start) = (Vec::new(), Vec::new(), Instant::now());
-        while start.elapsed() < time {
-            while let Ok((stream, _)) = self.listener.accept() {
-                stream.set_nonblocking(true).unwrap();
-                streams.push(stream);
-            }
-            let mut buffer = [0; 4096];
-            for stream in &mut streams {
-                while let Ok(read @ 1..) = stream.read(&mut buffer) {
-                    received.extend_from_slice(&buffer[..read]);
-                }
+/// Accepts connections for `time` and returns all bytes received on them.
+fn read_for(listener: &TcpListener, time: Duration) -> Vec<u8> {
+    listener.set_nonblocking(true).unwrap();
+    let (mut streams, mut received, start) = (Vec::new(), Vec::new(), Instant::now());
+    while start.elapsed() < time {
+        while let Ok((stream, _)) = listener.accept() {
+            stream.set_nonblocking(true).unwrap();
+            streams.push(stream);
+        }
+        let mut buffer = [0; 4096];
+        for stream in &mut streams {
+            while let Ok(read @ 1..) = stream.read(&mut buffer) {
+                received.extend_from_slice(&buffer[..read]);
             }
-            std::thread::sleep(Duration::from_millis(5));
         }
-        received
+        std::thread::sleep(Duration::from_millis(5));
     }
+    received
 }
 
 #[test]
@@ -170,7 +147,8 @@
         assert_eq!(proxy.exchange("GET /-/ready HTTP/1.1\r\nHost: a\r\n\r\n").status(), 200);
         let kept_client = (!disconnects).then_some(client);
         // The operating system retries the connection after 1 s and after 3 s.
-        let received = backend.read_for(Duration::from_secs(5));
+        std::thread::sleep(CONNECT_STARTED);
+        let received = read_for(&backend.open(), Duration::from_secs(5));
         assert_eq!(
             !received.is_empty(),
             expected,
--- a/crates/dewpier/tests/common/sockets.rs
+++ b/crates/dewpier/tests/common/sockets.rs
@@ -6,7 +6,7 @@
 pub use dewpier_standins::message::{Message, exchange, format_response, read_message};
 pub use dewpier_standins::scripted_server::{ScriptedReply, ScriptedServer};
 #[allow(unused_imports)]
-pub use dewpier_standins::{WAIT_TIMEOUT, wait_for, wait_for_close};
+pub use dewpier_standins::{WAIT_TIMEOUT, reserve_addresses, wait_for, wait_for_close};
 
 use serde_json::{Value, json};
 use std::io::{BufRead, BufReader, Read, Write};
--- a/crates/dewpier/tests/descriptors.rs
+++ b/crates/dewpier/tests/descriptors.rs
@@ -7,7 +7,7 @@
 use dewpier_http::discovery::schedule::STALENESS_BOUND;
 use serde_json::json;
 use std::io::Write;
-use std::net::{TcpListener, TcpStream};
+use std::net::TcpStream;
 use std::time::{Duration, Instant};
 
 const DESCRIPTORS: usize = 64;
@@ -31,7 +31,7 @@
 fn idle_clients_do_not_take_the_descriptors_of_others() {
     let [old, new] = ["old", "new"].map(ScriptedServer::always_ok);
     // Nothing listens at this address yet.
-    let discovery = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let discovery = reserve_addresses(1)[0];
     let mut config = build_config(&settings(), &known_list(&[&old]));
     config["limits"]["sockets"] = json!(DESCRIPTORS);
     config["operator"] = json!("127.0.0.1:0");
--- a/crates/dewpier/tests/discovery_watch.rs
+++ b/crates/dewpier/tests/discovery_watch.rs
@@ -6,7 +6,7 @@
 use common::sockets::*;
 use dewpier_http::discovery::schedule::STALENESS_BOUND;
 use serde_json::{Value, json};
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::mpsc::channel;
 use std::sync::{Arc, Mutex};
@@ -227,7 +227,7 @@
             scope.spawn(move || {
                 let [old, new] = ["old", "new"].map(ScriptedServer::always_ok);
                 // Nothing listens at this address until the mock server starts.
-                let address = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+                let address = reserve_addresses(1)[0];
                 let proxy = Proxy::start(&settings_with_mode(mode), &known_list(&[&old]), address);
                 assert_eq!(
                     proxy.exchange("GET /-/ready HTTP/1.1\r\nHost: a\r\n\r\n").status(),
--- a/crates/dewpier/tests/proxy.rs
+++ b/crates/dewpier/tests/proxy.rs
@@ -10,7 +10,6 @@
 use gannetproxy::{BackendId, Outcome};
 use serde_json::json;
 use std::io::Write;
-use std::net::TcpListener;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::mpsc::channel;
@@ -78,7 +77,7 @@
 
 #[test]
 fn unsafe_request_that_reached_no_backend_is_rejected() {
-    let closed = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let closed = reserve_addresses(1)[0];
     let known = discovery_list(1, true, &[list_entry("s-1", closed, "SERVING")]);
     let proxy = Proxy::start(&settings(), &known, idle_discovery().address);
     assert_eq!(proxy.exchange(&request_text("order", 1000)).status(), 503);
@@ -228,7 +227,7 @@
             lost_on_reused: Default::default(),
         };
         let result = http.attempt(http.create_endpoint(backend.address).into(), payload.into(), attempt);
-        runtime.block_on(result).outcome
+        tokio::task::LocalSet::new().block_on(&runtime, result).outcome
     };
     assert_eq!(send(Some(0.0)), Outcome::NoConnection);
     assert_eq!(backend.request_count(), 0);
--- a/crates/http/src/backend.rs
+++ b/crates/http/src/backend.rs
@@ -1,8 +1,9 @@
 //! HTTP backends: their idle connections, attempts and probes, and the exact outcome of each.
 
 use crate::body::{RequestBody, ResponseBody, ResponseSender, UploadProgress};
-use crate::connection::{BackendReply, Connection, ExchangeError, LAST_BYTE_DELAY, connect};
+use crate::connection::{BackendReply, Connection, ExchangeError, LAST_BYTE_DELAY};
 use crate::headers::forward_response_headers;
+use crate::late_connect::{LateConnects, NewConnection, connect_within};
 use crate::limits::{Budget, Permit};
 use crate::payload::Payload;
 use dewpier_operate::metrics::AttemptCounter;
@@ -30,10 +31,15 @@
 /// times, counts as stale before the request.
 const SILENT_CLOSE_WINDOW: Duration = Duration::from_millis(5);
 
+/// Largest number of idle connections to a backend that have come up late and were never used.
+const MAX_UNUSED_CONNECTIONS: usize = 2;
+
 struct IdleConnection {
     connection: Connection,
     permit: Permit,
     idle_since: Instant,
+    /// It came up late and has carried no request.
+    is_unused: bool,
 }
 
 /// When idle connections are reused, based on the history of all backends and the price of a handshake.
@@ -77,6 +83,7 @@
     history: RefCell<ReuseHistory>,
     /// How long the last connect took.
     connect_time: Cell<Duration>,
+    late_connects: LateConnects,
 }
 
 impl Endpoint {
@@ -89,7 +96,7 @@
     /// Closes connections that were idle for too long or that the backend has closed.
     fn close_expired(&self) {
         let keep_usable = |idle: IdleConnection| {
-            let IdleConnection { connection, permit, idle_since } = idle;
+            let IdleConnection { connection, permit, idle_since, is_unused } = idle;
             let Some(connection) = connection.into_reusable() else {
                 self.history
                     .borrow_mut()
@@ -100,12 +107,23 @@
                 connection,
                 permit,
                 idle_since,
+                is_unused,
             })
         };
         let usable = self.idle_connections.take().into_iter().filter_map(keep_usable).collect();
         self.idle_connections.replace(usable);
     }
 
+    /// Keeps a connection that no attempt waits for any more, for the next request.
+    pub(crate) fn keep_late_connection(&self, new: NewConnection) {
+        let NewConnection { connection, permit, generation } = new;
+        let mut idle = self.idle_connections.borrow_mut();
+        let unused = idle.iter().filter(|idle| idle.is_unused).count();
+        if generation == self.generation.get() && unused < MAX_UNUSED_CONNECTIONS {
+            idle.push(IdleConnection { connection, permit, idle_since: Instant::now(), is_unused: true });
+        }
+    }
+
     /// Returns whether a connection with this idle time is a better choice than a new one.
     fn is_worth_reusing(&self, idle_time: Duration, loss_cost: LossCost) -> bool {
         let ReusePolicy { shared_history, price, .. } = &self.reuse_policy;
@@ -122,7 +140,7 @@
 
     /// Returns the most recently used idle connection that is settled and worth reusing, or else a new one.
     /// Without a loss cost, always returns a new one.
-    async fn take_or_connect(&self, loss_cost: Option<LossCost>) -> Option<ReadyConnection> {
+    async fn take_or_connect(self: &Rc<Self>, loss_cost: Option<LossCost>) -> Option<ReadyConnection> {
         while let Some(loss_cost) = loss_cost {
             let mut idle = self.idle_connections.borrow_mut();
             let settled_position = idle.iter().rposition(|idle| idle.idle_since.elapsed() >= SETTLE_TIME);
@@ -153,7 +171,10 @@
             }
         };
         let started = Instant::now();
-        let connection = connect(self.address.get(), self.connect_timeout).await.ok()?;
+        let (address, generation) = (self.address.get(), self.generation.get());
+        let connecting =
+            connect_within(self, &self.late_connects, address, generation, permit, self.connect_timeout);
+        let NewConnection { connection, permit, .. } = connecting.await?;
         self.connect_time.set(started.elapsed());
         Some(ReadyConnection { connection, permit, idle_time: None })
     }
@@ -214,6 +235,7 @@
             reuse_policy: self.reuse_policy.clone(),
             history: RefCell::default(),
             connect_time: Cell::default(),
+            late_connects: LateConnects::default(),
         }
     }
 
@@ -333,7 +355,7 @@
 }
 
 async fn exchange<R>(
-    endpoint: &Endpoint,
+    endpoint: &Rc<Endpoint>,
     attempt: &AttemptContext<R>,
     options: ExchangeOptions<'_>,
     head_only: bool,
@@ -412,6 +434,7 @@
                 connection,
                 permit,
                 idle_since: Instant::now(),
+                is_unused: false,
             });
         }
     };
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod discovery;
 mod head_scanner;
 pub mod headers;
+mod late_connect;
 pub mod limits;
 pub mod listing;
 pub mod payload;
--- a/crates/http/tests/kept_connections.rs
+++ b/crates/http/tests/kept_connections.rs
@@ -1,22 +1,20 @@
 //! Idle connections that fail at the moment of their reuse. The runtime is blocked during the fault, so that
 //! it can't notice the fault before the attempt starts.
 
-use bytes::Bytes;
-use dewpier_http::backend::{HttpUpstream, ResponsePolicy, ReusePolicy};
-use dewpier_http::body::ResponseBody;
-use dewpier_http::limits::Budget;
-use dewpier_http::payload::{Payload, PayloadBody};
+mod common;
+
+use common::{attempt, attempt_by, upstream};
 use dewpier_standins::WAIT_TIMEOUT;
 use dewpier_standins::message::{format_response, read_message, reset_connection};
 use dewpier_standins::scripted_server::ScriptedServer;
-use gannetproxy::engine::{AttemptContext, Clock, SendGate, Upstream, UpstreamResult};
-use gannetproxy::{BackendId, Outcome};
-use std::cell::Cell;
+use gannetproxy::Outcome;
+use gannetproxy::engine::Upstream;
 use std::io::{BufReader, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::rc::Rc;
 use std::sync::mpsc::{Receiver, Sender, channel};
 use std::time::Duration;
+use tokio::task::LocalSet;
 
 /// What a backend does to its first connection after the first response, once triggered.
 #[derive(Clone, Copy, Debug)]
@@ -85,65 +83,13 @@
     stream.get_mut().write_all(format_response("200 OK", "good").as_bytes()).is_ok()
 }
 
-async fn attempt(
-    http: &HttpUpstream,
-    endpoint: &Rc<<HttpUpstream as Upstream>::Endpoint>,
-) -> (Outcome, Bytes) {
-    attempt_by(http, endpoint, f64::INFINITY).await
-}
-
-/// Makes an attempt whose first byte must be sent by this time.
-async fn attempt_by(
-    http: &HttpUpstream,
-    endpoint: &Rc<<HttpUpstream as Upstream>::Endpoint>,
-    send_by: f64,
-) -> (Outcome, Bytes) {
-    let context = AttemptContext {
-        gate: Rc::new(SendGate::default()),
-        backend: BackendId(1),
-        clock: Clock::start(),
-        deadline: 20.0,
-        send_by,
-        written: Default::default(),
-        is_request_open: Rc::new(Cell::new(true)),
-        reply_sink: Default::default(),
-        exclusive_claim: Default::default(),
-    };
-    let payload = Payload {
-        method: "POST".parse().unwrap(),
-        uri: "/api".parse().unwrap(),
-        headers: [("host".parse().unwrap(), "app.svc".parse().unwrap())].into_iter().collect(),
-        body: PayloadBody::Buffered("body".into()),
-        loss_cost: dewpier_reuse::LossCost::Retryable,
-        lost_on_reused: Default::default(),
-    };
-    let UpstreamResult { outcome, reply, .. } = http.attempt(endpoint.clone(), payload.into(), context).await;
-    let body = reply.map(|response| match response.body {
-        ResponseBody::Buffered(body) => body,
-        ResponseBody::Streamed(_) => unreachable!("the body is short"),
-    });
-    (outcome, body.unwrap_or_default())
-}
-
-fn upstream() -> HttpUpstream {
-    HttpUpstream {
-        connections: Budget::new(4),
-        connect_timeout: WAIT_TIMEOUT,
-        idle_close: WAIT_TIMEOUT,
-        probe_path: "/",
-        reuse_policy: ReusePolicy::new(0.0),
-        response_policy: ResponsePolicy::Platform,
-        attempt_counter: Default::default(),
-    }
-}
-
 #[test]
 fn request_whose_latest_send_time_passes_during_the_connect_is_not_sent() {
     let backend = ScriptedServer::always_ok("good");
-    let http = upstream();
+    let http = upstream(WAIT_TIMEOUT);
     let endpoint = Rc::new(http.create_endpoint(backend.address));
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
-    runtime.block_on(async {
+    LocalSet::new().block_on(&runtime, async {
         assert_eq!(attempt_by(&http, &endpoint, 0.0).await.0, Outcome::NeverSent);
         assert_eq!(attempt_by(&http, &endpoint, 20.0).await.0, Outcome::Served);
     });
@@ -162,10 +108,10 @@
         ConnectionFault::Reset,
     ] {
         let backend = Backend::start(fault);
-        let http = upstream();
+        let http = upstream(WAIT_TIMEOUT);
         let endpoint = Rc::new(http.create_endpoint(backend.address));
         let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
-        runtime.block_on(async {
+        LocalSet::new().block_on(&runtime, async {
             assert_eq!(attempt(&http, &endpoint).await, (Outcome::Served, "good".into()));
             // Waits until the connection is settled and may be reused.
             tokio::time::sleep(Duration::from_millis(60)).await;
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod bulk;
 pub mod faulty;
 pub mod faulty_relay;
+pub mod late_backend;
 pub mod load;
 pub mod mesh;
 pub mod message;
--- a/crates/standins/src/scripted_server.rs
+++ b/crates/standins/src/scripted_server.rs
@@ -46,7 +46,14 @@
         address: SocketAddr,
         script: impl Fn(usize, &Message) -> ScriptedReply + Send + Sync + 'static,
     ) -> Self {
-        let listener = TcpListener::bind(address).expect("a free port");
+        Self::on_listener(TcpListener::bind(address).expect("a free port"), script)
+    }
+
+    /// Starts a server on a socket that listens already.
+    pub fn on_listener(
+        listener: TcpListener,
+        script: impl Fn(usize, &Message) -> ScriptedReply + Send + Sync + 'static,
+    ) -> Self {
         let address = listener.local_addr().expect("the address of a bound socket");
         let server = Self { address, received_requests: Arc::default(), connection_count: Arc::default() };
         let (requests, connections) = (server.received_requests.clone(), server.connection_count.clone());
