YAML inventories: plain text with a capital outside ASCII no longer panics

Any such name ends the process, also a valid one.

Cause: the test for booleans cut the text after its first byte instead of its first character (crates/inventory/src/yaml.rs).

Measured: plain_text_with_a_capital_outside_ascii_is_read_as_text fails before and passes after, with the other tests of the file.

--- a/crates/inventory/src/yaml.rs
+++ b/crates/inventory/src/yaml.rs
@@ -81,9 +81,12 @@
 /// nor a decimal integer.
 fn ambiguous_type(text: &str) -> Option<&'static str> {
     let booleans = ["yes", "no", "on", "off", "true", "false"];
+    let mut characters = text.chars();
+    let starts_uppercase = characters.next().is_some_and(char::is_uppercase);
+    let rest = characters.as_str();
     let has_uniform_case = text == text.to_lowercase()
         || text == text.to_uppercase()
-        || text.chars().next().is_some_and(char::is_uppercase) && text[1..] == text[1..].to_lowercase();
+        || starts_uppercase && rest == rest.to_lowercase();
     if has_uniform_case && booleans.contains(&text.to_lowercase().as_str()) {
         return Some("a boolean");
     }
--- a/crates/inventory/tests/round_trip.rs
+++ b/crates/inventory/tests/round_trip.rs
@@ -112,3 +112,10 @@
         }
     }
 }
+
+#[test]
+fn plain_text_with_a_capital_outside_ascii_is_read_as_text() {
+    let text = "- id: Алматы\n  address: 127.0.0.1:7070\n";
+    let list = dewpier_inventory::read(text.as_bytes(), "a.yaml", &Options::default()).unwrap();
+    assert_eq!(list.backends[0].id, "Алматы");
+}
