Discovery tests: retries without wait are asserted again

Need: when the test of growing delays moved to the planner's API, it lost the assertion that failed calls are retried without a wait and that a watch waits again after an answer.

Change: a test of the planner holds both. No code is changed. Measured: the tests of discovery_calls.rs pass (15).

--- a/crates/http/tests/discovery_calls.rs
+++ b/crates/http/tests/discovery_calls.rs
@@ -529,3 +529,21 @@
     assert_eq!(planner.failures(), 0);
     assert!(planner.is_pending(watch.id));
 }
+
+#[test]
+fn failed_calls_are_retried_without_wait_until_one_is_answered() {
+    let mut planner = CallPlanner::new(address(1), OLD_VERSION, true, CallTiming::SHARED_SERVICE, 3);
+    let mut now = Duration::ZERO;
+    let mut call = start(&mut planner, now);
+    assert!(call.wait > Duration::ZERO);
+    for _ in 0..12 {
+        planner.record_failure(call.id, CallFailure::RejectedAtOnce, now);
+        let NextStep::WaitUntil(at) = planner.next_step(now) else { panic!("the call is repeated later") };
+        now = at;
+        call = start(&mut planner, now);
+        assert_eq!(call.wait, Duration::ZERO);
+    }
+    assert_eq!(planner.record_list(call.id, OLD_VERSION, false, now), Verdict::Apply);
+    now += Duration::from_secs(1);
+    assert!(start(&mut planner, now).wait > Duration::ZERO);
+}
