Review, case 1: after a failed read on a replica the session writes there

A session is kept for five statements on the connection whose answer was an error or had warnings, also on a replica's.

--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -6,6 +6,6 @@
 cd "$here/../.." || exit 2
 folder=$(mktemp -d) || exit 2
 trap 'rm -rf "$folder"' EXIT
-timeout 115 review/tools/target/release/stale-transaction "$here/record.txt" "$folder"
+timeout 115 review/tools/target/release/replica-write "$here/record.txt" "$folder"
 status=$?
 case $status in 0 | 1) exit $status ;; *) exit 2 ;; esac
--- a/review/tools/src/bin/long-body.rs
+++ b/review/tools/src/bin/long-body.rs
@@ -16,6 +16,8 @@
 const LONG: usize = 18;
 const SHORT: usize = 18;
 const LONG_BYTES: usize = 200_000;
+/// The same with TROUBLE=still: more than the buffers between proxy and backend hold.
+const STILL_BYTES: usize = 8_000_000;
 /// What a client gives a request, and until when after that the answer still counts.
 const REMAINING: Duration = Duration::from_millis(6000);
 const SLACK: Duration = Duration::from_millis(500);
@@ -37,6 +39,7 @@
     let record = case.record.clone();
     let (hangs, terminates) =
         (matches!(&*case.trouble, "1" | "hang"), matches!(&*case.trouble, "1" | "term"));
+    let stands_still = case.trouble == "still";
     let work = Duration::from_millis(150);
     let backends: Vec<Backend> =
         (0..BACKENDS).map(|i| Backend::start(&format!("s-{i}"), work, &record)).collect();
@@ -80,13 +83,13 @@
         }
         sleep(Duration::from_millis(50));
     }
-    let send = |n: usize, long: bool| {
+    let send = |n: usize, bytes: usize| {
+        let long = bytes >= LONG_BYTES;
         let (results, result) = channel::<Outcome>();
         let record = record.clone();
         let (written, is_written) = channel::<()>();
         spawn(move || {
             let id = format!("{:016x}", 0x9b1f_03aa_0000_0000u64 + n as u64);
-            let bytes = if long { LONG_BYTES } else { 200 };
             let head = format!(
                 "POST /api HTTP/1.1\r\nHost: app.svc\r\nX-Txn: {id}\r\nX-Lane: place-order\r\nX-Org: steppe-profil\r\n\
                  X-Remaining-Ms: {}\r\nContent-Length: {bytes}\r\n\r\n",
@@ -122,7 +125,7 @@
     };
     // A quiet time before: short and long bodies are served.
     for n in 0..30 {
-        let (_, result) = send(n, n % 3 == 0);
+        let (_, result) = send(n, if n % 3 == 0 { LONG_BYTES } else { 200 });
         let outcome = result.recv().unwrap();
         if !(outcome.status == Some(200) && outcome.own_answer) {
             cannot_run("a request before the disruption was not served");
@@ -132,7 +135,13 @@
         record.line(format!("{HANGING} of {BACKENDS} backends hang from now on"));
         backends[..HANGING].iter().for_each(|b| b.hangs.store(true, Ordering::SeqCst));
     }
-    let waiting: Vec<_> = (0..LONG + SHORT).map(|n| send(100 + n, n < LONG)).collect();
+    if stands_still {
+        record.line(format!("{HANGING} of {BACKENDS} backends stand still from now on"));
+        backends[..HANGING].iter().for_each(|b| b.is_still.store(true, Ordering::SeqCst));
+    }
+    let long_bytes = if stands_still { STILL_BYTES } else { LONG_BYTES };
+    let bytes = |n: usize| if n < LONG { long_bytes } else { 200 };
+    let waiting: Vec<_> = (0..LONG + SHORT).map(|n| send(100 + n, bytes(n))).collect();
     waiting.iter().for_each(|(written, _)| written.recv().unwrap_or_default());
     sleep(Duration::from_millis(300));
     let term_at = Instant::now();
--- a/review/tools/src/http.rs
+++ b/review/tools/src/http.rs
@@ -72,6 +72,8 @@
 pub struct Backend {
     pub address: SocketAddr,
     pub hangs: Arc<AtomicBool>,
+    /// It stands still: it does not even read.
+    pub is_still: Arc<AtomicBool>,
     /// Ids of the requests whose last byte has come.
     pub begun: Arc<Mutex<Vec<String>>>,
 }
@@ -79,17 +81,23 @@
 impl Backend {
     pub fn start(name: &str, work: Duration, record: &Record) -> Self {
         let (listener, address) = listen();
-        let (hangs, begun): (Arc<AtomicBool>, Arc<Mutex<Vec<String>>>) = Default::default();
+        let (hangs, is_still): (Arc<AtomicBool>, Arc<AtomicBool>) = Default::default();
+        let begun: Arc<Mutex<Vec<String>>> = Arc::default();
         let (name, record) = (name.to_string(), record.clone());
-        let (shared_hangs, shared_begun) = (hangs.clone(), begun.clone());
+        let (shared_hangs, shared_begun, shared_still) = (hangs.clone(), begun.clone(), is_still.clone());
         spawn(move || {
             for stream in listener.incoming().flatten() {
                 let (name, record) = (name.clone(), record.clone());
-                let (hangs, begun) = (shared_hangs.clone(), shared_begun.clone());
+                let (hangs, begun, is_still) =
+                    (shared_hangs.clone(), shared_begun.clone(), shared_still.clone());
                 spawn(move || {
                     let _ = stream.set_nodelay(true);
                     let mut stream = BufReader::new(stream);
-                    while let Ok(request) = read_message(&mut stream) {
+                    loop {
+                        while is_still.load(Ordering::SeqCst) {
+                            sleep(Duration::from_millis(20));
+                        }
+                        let Ok(request) = read_message(&mut stream) else { return };
                         let path = request.first_line.split(' ').nth(1).unwrap_or("").to_string();
                         let id = request.header("x-txn").to_string();
                         if !id.is_empty() {
@@ -121,7 +129,7 @@
                 });
             }
         });
-        Self { address, hangs, begun }
+        Self { address, hangs, is_still, begun }
     }
 }
 
--- a/review/tools/src/mysql.rs
+++ b/review/tools/src/mysql.rs
@@ -50,6 +50,8 @@
     statements: Vec<Statement>,
     /// Close the connection after this statement has run, in place of its answer.
     break_after: Option<String>,
+    /// Reads take too long here: each is given up with error 3024.
+    is_slow: bool,
     connections: Vec<TcpStream>,
     last_id: u64,
 }
@@ -180,6 +182,10 @@
             return self.send_value(&id.to_string());
         } else if upper.starts_with("SELECT") {
             self.row_count = -1;
+            if shared.lock().unwrap().is_slow {
+                let text = "Query execution was interrupted, maximum statement execution time exceeded";
+                return self.send_error(3024, "HY000", text);
+            }
             return self.send_value("7");
         }
         let _ = warnings_before;
@@ -259,6 +265,11 @@
         self.shared.lock().unwrap().break_after = Some(text.into());
     }
 
+    /// Whether reads take too long, so that the server gives them up with an error.
+    pub fn set_slow(&self, is_slow: bool) {
+        self.shared.lock().unwrap().is_slow = is_slow;
+    }
+
     /// Closes all connections. Open transactions end without a commit.
     pub fn close_connections(&self) {
         for stream in self.shared.lock().unwrap().connections.drain(..) {
@@ -372,6 +383,16 @@
 /// Writes the files of `dewpier serve` with a MySQL front before these servers, and returns the configuration's path.
 /// Settings as in deploy/mysql.toml, on free ports.
 pub fn write_config(folder: &std::path::Path, node: SocketAddr, servers: &str) -> String {
+    write_config_with_replicas(folder, node, servers, None)
+}
+
+/// The same with a list of replicas.
+pub fn write_config_with_replicas(
+    folder: &std::path::Path,
+    node: SocketAddr,
+    servers: &str,
+    replicas: Option<&str>,
+) -> String {
     let write = |name: &str, text: &str| {
         let written = std::fs::write(folder.join(name), text);
         written.unwrap_or_else(|e| cannot_run(&format!("{name}: {e}")));
@@ -380,12 +401,19 @@
     write("mysql-users.toml", &format!("[users]\nplanner = \"{}\"\n", crate::sha1::native_hash("oak")));
     write("mysql-password", "elm\n");
     write("mysql-servers.csv", servers);
-    write(
-        "mysql.toml",
+    let replica_table = match replicas {
+        Some(rows) => {
+            write("mysql-replicas.csv", rows);
+            "[mysql.replicas]\nfile = \"mysql-replicas.csv\"\n"
+        }
+        None => "",
+    };
+    let settings = String::from(
         "listen = \"127.0.0.1:0\"\n[inventory]\nfile = \"nodes.csv\"\n[mysql]\nlisten = \"127.0.0.1:0\"\n\
          users = \"mysql-users.toml\"\nserver_user = \"dewpier\"\nserver_password_file = \"mysql-password\"\n\
          read_aim_ms = 1000\nread_deadline_ms = 10000\nwrite_deadline_ms = 30000\nmax_connections = 200\n\
          hold_kb = 1024\n[mysql.inventory]\nfile = \"mysql-servers.csv\"\n",
     );
+    write("mysql.toml", &(settings + replica_table));
     folder.join("mysql.toml").display().to_string()
 }
