--- a/review/tools/src/mysql.rs
+++ b/review/tools/src/mysql.rs
@@ -48,8 +48,10 @@
     /// Rows that stand: table and text.
     committed: Vec<(String, String)>,
     statements: Vec<Statement>,
-    /// Close the connection after this statement has run, in place of its answer.
-    break_after: Option<String>,
+    /// Close the connection after a statement with one of these texts has run, in place of its answer.
+    break_after: Vec<String>,
+    /// `super_read_only`: writes are answered with error 1290.
+    is_read_only: bool,
     /// Reads take too long here: each is given up with error 3024.
     is_slow: bool,
     connections: Vec<TcpStream>,
@@ -135,7 +137,8 @@
         let breaks = {
             let mut state = shared.lock().unwrap();
             state.statements.push(Statement { at: Instant::now(), text: text.into() });
-            state.break_after.take_if(|wanted| text.contains(&**wanted)).is_some()
+            let found = state.break_after.iter().position(|wanted| text.contains(&**wanted));
+            found.map(|i| state.break_after.remove(i)).is_some()
         };
         let warnings_before = std::mem::take(&mut self.warnings);
         let mut answer: (u8, u8) = (0, 0);
@@ -157,6 +160,10 @@
                 "Deadlock found when trying to get lock; try restarting transaction",
             );
         } else if let Some(rest) = upper.strip_prefix("INSERT INTO ") {
+            if shared.lock().unwrap().is_read_only {
+                let text = "The MySQL server is running with the --super-read-only option so it cannot execute this statement";
+                return self.send_error(1290, "HY000", text);
+            }
             let table = rest.split([' ', '(']).next().unwrap_or("").to_ascii_lowercase();
             let text = text.replace("LAST_INSERT_ID()", &self.insert_id.to_string());
             self.write(shared, table.clone(), text);
@@ -262,7 +269,7 @@
 
     /// The connection on which a statement with this text runs next dies after it has run, before its answer.
     pub fn break_after(&self, text: &str) {
-        self.shared.lock().unwrap().break_after = Some(text.into());
+        self.shared.lock().unwrap().break_after.push(text.into());
     }
 
     /// Whether reads take too long, so that the server gives them up with an error.
@@ -270,6 +277,11 @@
         self.shared.lock().unwrap().is_slow = is_slow;
     }
 
+    /// Makes the server answer writes with error 1290.
+    pub fn set_read_only(&self) {
+        self.shared.lock().unwrap().is_read_only = true;
+    }
+
     /// Closes all connections. Open transactions end without a commit.
     pub fn close_connections(&self) {
         for stream in self.shared.lock().unwrap().connections.drain(..) {
