--- a/review/tools/src/http.rs
+++ b/review/tools/src/http.rs
@@ -7,7 +7,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread::{sleep, spawn};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// A request or an answer, read whole.
 #[derive(Debug, Default)]
@@ -164,6 +164,58 @@
     address
 }
 
+/// Discovery whose list may be replaced. A watch ends once there is a newer list, with the whole of it. A watch from a
+/// newer version than it has waits.
+pub struct Discovery {
+    pub address: SocketAddr,
+    list: Arc<Mutex<(u64, String)>>,
+}
+
+impl Discovery {
+    pub fn start(name: &str, generation: u64, list: String, record: &Record) -> Self {
+        let (listener, address) = listen();
+        let shared = Arc::new(Mutex::new((generation, list)));
+        let (list, name, record) = (shared.clone(), name.to_string(), record.clone());
+        spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let (list, name, record) = (list.clone(), name.clone(), record.clone());
+                spawn(move || {
+                    let mut stream = BufReader::new(stream);
+                    while let Ok(request) = read_message(&mut stream) {
+                        let target = request.first_line.split(' ').nth(1).unwrap_or("").to_string();
+                        let number = |name: &str| -> u64 {
+                            let found = target.split(['?', '&']).find_map(|p| p.strip_prefix(name));
+                            found.and_then(|v| v.parse().ok()).unwrap_or(0)
+                        };
+                        let (since, until) = (number("since="), Instant::now());
+                        let until = until + Duration::from_millis(number("timeout_ms=").min(60_000));
+                        let mut current = list.lock().unwrap().clone();
+                        while since >= current.0 && since > 0 && Instant::now() < until {
+                            sleep(Duration::from_millis(5));
+                            current = list.lock().unwrap().clone();
+                        }
+                        let body = match since >= current.0 && since > 0 {
+                            true => format!(r#"{{"generation":{},"reset":false,"instances":[]}}"#, current.0),
+                            false => current.1,
+                        };
+                        record.line(format!("discovery {name}: {target} -> version {}", current.0));
+                        let answer =
+                            format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+                        if stream.get_mut().write_all(answer.as_bytes()).is_err() {
+                            return;
+                        }
+                    }
+                });
+            }
+        });
+        Self { address, list: shared }
+    }
+
+    pub fn set_list(&self, generation: u64, list: String) {
+        *self.list.lock().unwrap() = (generation, list);
+    }
+}
+
 /// The list in discovery's form.
 pub fn format_list(backends: &[SocketAddr]) -> String {
     let entry = |(i, address): (usize, &SocketAddr)| {
--- a/review/tools/src/mysql.rs
+++ b/review/tools/src/mysql.rs
@@ -50,6 +50,8 @@
     statements: Vec<Statement>,
     /// Close the connection after a statement with one of these texts has run, in place of its answer.
     break_after: Vec<String>,
+    /// A statement with this text hangs for 20 s.
+    hangs_at: Option<String>,
     /// `super_read_only`: writes are answered with error 1290.
     is_read_only: bool,
     /// Reads take too long here: each is given up with error 3024.
@@ -140,7 +142,10 @@
             let found = state.break_after.iter().position(|wanted| text.contains(&**wanted));
             found.map(|i| state.break_after.remove(i)).is_some()
         };
-        let warnings_before = std::mem::take(&mut self.warnings);
+        self.warnings = 0;
+        if shared.lock().unwrap().hangs_at.as_ref().is_some_and(|wanted| text.contains(&**wanted)) {
+            std::thread::sleep(Duration::from_secs(20));
+        }
         let mut answer: (u8, u8) = (0, 0);
         if upper.starts_with("BEGIN") {
             self.commit(shared);
@@ -195,7 +200,6 @@
             }
             return self.send_value("7");
         }
-        let _ = warnings_before;
         if breaks {
             return Err(io::Error::other("the connection dies after the statement has run"));
         }
@@ -277,6 +281,11 @@
         self.shared.lock().unwrap().is_slow = is_slow;
     }
 
+    /// A statement with this text hangs for 20 s before it runs.
+    pub fn hang_at(&self, text: &str) {
+        self.shared.lock().unwrap().hangs_at = Some(text.into());
+    }
+
     /// Makes the server answer writes with error 1290.
     pub fn set_read_only(&self) {
         self.shared.lock().unwrap().is_read_only = true;
