--- a/review/tools/src/lib.rs
+++ b/review/tools/src/lib.rs
@@ -25,14 +25,14 @@
     std::process::exit(2)
 }
 
-/// What was sent, answered and run, with the time in ms since the start.
+/// What was sent, answered and run, with the time in ms since the start. The temporary folder stands as FOLDER.
 #[derive(Clone)]
-pub struct Record(Arc<Mutex<File>>, Instant);
+pub struct Record(Arc<Mutex<File>>, Instant, Arc<str>);
 
 impl Record {
-    pub fn create(path: &Path) -> Self {
+    pub fn create(path: &Path, folder: &str) -> Self {
         let file = File::create(path).unwrap_or_else(|e| cannot_run(&format!("{}: {e}", path.display())));
-        Self(Arc::new(Mutex::new(file)), Instant::now())
+        Self(Arc::new(Mutex::new(file)), Instant::now(), folder.into())
     }
 
     pub fn ms(&self) -> u128 {
@@ -40,7 +40,7 @@
     }
 
     pub fn line(&self, text: impl AsRef<str>) {
-        let line = format!("{:>7} {}\n", self.ms(), text.as_ref());
+        let line = format!("{:>7} {}\n", self.ms(), text.as_ref().replace(&*self.2, "FOLDER"));
         let _ = self.0.lock().unwrap().write_all(line.as_bytes());
     }
 }
@@ -62,7 +62,7 @@
             sleep(Duration::from_secs(100));
             cannot_run("it took over 100 s");
         });
-        Self { record: Record::create(Path::new(record)), folder: folder.into(), trouble }
+        Self { record: Record::create(Path::new(record), folder), folder: folder.into(), trouble }
     }
 
     pub fn has_trouble(&self) -> bool {
