--- a/review/tools/src/bin/replica-write.rs
+++ b/review/tools/src/bin/replica-write.rs
@@ -27,9 +27,12 @@
     for n in 0..SESSIONS {
         let mut client = Client::log_in(&format!("c{n}"), address, &record);
         client.query("SELECT n FROM orders WHERE id = 1");
-        replica.set_slow(case.has_trouble());
+        // TROUBLE=warn: the read succeeds, with a warning.
+        replica.set_slow(case.trouble == "1");
+        replica.set_warnings(case.trouble == "warn");
         let read = client.query("SELECT n FROM orders WHERE id = 2");
         replica.set_slow(false);
+        replica.set_warnings(false);
         record.line(format!("read: {read:?}"));
         // One statement that commits by itself, and one transaction.
         let single = format!("'order {n}'");
--- a/review/tools/src/mysql.rs
+++ b/review/tools/src/mysql.rs
@@ -56,6 +56,8 @@
     is_read_only: bool,
     /// Reads take too long here: each is given up with error 3024.
     is_slow: bool,
+    /// Reads have a warning.
+    has_warnings: bool,
     connections: Vec<TcpStream>,
     last_id: u64,
 }
@@ -104,7 +106,7 @@
             text_field(&mut definition, part);
         }
         definition.extend_from_slice(&[0x0c, 45, 0, 0xff, 0, 0, 0, 0xfd, 0, 0, 0, 0, 0]);
-        let eof = [&[0xfe, 0, 0][..], &self.status().to_le_bytes()].concat();
+        let eof = [&[0xfe][..], &self.warnings.to_le_bytes(), &self.status().to_le_bytes()].concat();
         let mut row = Vec::new();
         text_field(&mut row, value);
         for packet in [&[1][..], &definition, &eof, &row, &eof] {
@@ -198,6 +200,7 @@
                 let text = "Query execution was interrupted, maximum statement execution time exceeded";
                 return self.send_error(3024, "HY000", text);
             }
+            self.warnings = u16::from(shared.lock().unwrap().has_warnings);
             return self.send_value("7");
         }
         if breaks {
@@ -291,6 +294,11 @@
         self.shared.lock().unwrap().is_read_only = true;
     }
 
+    /// Whether the answers to reads have a warning.
+    pub fn set_warnings(&self, has_warnings: bool) {
+        self.shared.lock().unwrap().has_warnings = has_warnings;
+    }
+
     /// Closes all connections. Open transactions end without a commit.
     pub fn close_connections(&self) {
         for stream in self.shared.lock().unwrap().connections.drain(..) {
