--- a/review/tools/src/bin/long-join.rs
+++ b/review/tools/src/bin/long-join.rs
@@ -24,7 +24,5 @@
     let ended = proxy.child.try_wait().ok().flatten();
     record.line(format!("{joins} joins: told {told:?}; the other client: {others:?}; the proxy: {ended:?}"));
     let broken = ended.is_some() || others == Answer::Ended;
-    record.line(if broken { "rule broken" } else { "rule held" });
-    drop(proxy);
-    std::process::exit(i32::from(broken));
+    case.finish(proxy, broken)
 }
--- a/review/tools/src/bin/moved-server.rs
+++ b/review/tools/src/bin/moved-server.rs
@@ -68,7 +68,5 @@
     if let (Some(last), Some(at)) = (late.last(), told_at) {
         record.line(format!("the last {} ms after the news: {}", (last.at - at).as_millis(), last.text));
     }
-    record.line(if late.is_empty() { "rule held" } else { "rule broken" });
-    drop(proxy);
-    std::process::exit(i32::from(!late.is_empty()));
+    case.finish(proxy, !late.is_empty())
 }
--- a/review/tools/src/bin/mysql-stop.rs
+++ b/review/tools/src/bin/mysql-stop.rs
@@ -32,7 +32,5 @@
     let _ = proxy.child.kill();
     let told = asked.join().unwrap();
     let broken = told == Answer::Ended;
-    record.line(if broken { "rule broken" } else { "rule held" });
-    drop(proxy);
-    std::process::exit(i32::from(broken));
+    case.finish(proxy, broken)
 }
--- a/review/tools/src/bin/older-list.rs
+++ b/review/tools/src/bin/older-list.rs
@@ -101,7 +101,5 @@
     let late = times.iter().filter(|at| **at > told + GRACE).count();
     record.line(format!("{} requests began at s-0, {late} of them later than the grace", times.len()));
     let broken = late > 0;
-    record.line(if broken { "rule broken" } else { "rule held" });
-    drop(proxy);
-    std::process::exit(i32::from(broken));
+    case.finish(proxy, broken)
 }
--- a/review/tools/src/bin/stale-answers.rs
+++ b/review/tools/src/bin/stale-answers.rs
@@ -43,7 +43,5 @@
         record.line("RULE: the order has the id 41; its line was written with another one");
         broken = true;
     }
-    record.line(if broken { "rule broken" } else { "rule held" });
-    drop(proxy);
-    std::process::exit(i32::from(broken));
+    case.finish(proxy, broken)
 }
--- a/review/tools/src/lib.rs
+++ b/review/tools/src/lib.rs
@@ -9,6 +9,7 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread::sleep;
 use std::time::{Duration, Instant};
@@ -45,6 +46,11 @@
     }
 }
 
+/// The longest time in ms by which this process was held up, as a thread that sleeps has seen it.
+static HELD_UP_MS: AtomicU64 = AtomicU64::new(0);
+/// Held up for longer, the machine may be what a result shows.
+const MAX_HELD_UP_MS: u64 = 300;
+
 /// The arguments of a case: the record's path, a temporary folder, and whether there is a disruption.
 pub struct Case {
     pub record: Record,
@@ -62,12 +68,32 @@
             sleep(Duration::from_secs(100));
             cannot_run("it took over 100 s");
         });
+        std::thread::spawn(|| {
+            loop {
+                let start = Instant::now();
+                sleep(Duration::from_millis(10));
+                let late = start.elapsed().as_millis().saturating_sub(10) as u64;
+                HELD_UP_MS.fetch_max(late, Ordering::Relaxed);
+            }
+        });
         Self { record: Record::create(Path::new(record), folder), folder: folder.into(), trouble }
     }
 
     pub fn has_trouble(&self) -> bool {
         self.trouble != "0"
     }
+
+    /// Ends the run: 1 if the rule was broken, 0 if it held, 2 if the machine was too busy to tell.
+    pub fn finish(&self, proxy: Proxy, broken: bool) -> ! {
+        drop(proxy);
+        let held_up = HELD_UP_MS.load(Ordering::Relaxed);
+        self.record.line(format!("this process was held up for {held_up} ms at most"));
+        if held_up > MAX_HELD_UP_MS {
+            cannot_run(&format!("the machine is too busy: held up for {held_up} ms"));
+        }
+        self.record.line(if broken { "rule broken" } else { "rule held" });
+        std::process::exit(i32::from(broken))
+    }
 }
 
 /// A process of the program, killed when dropped.
