--- a/review/tools/src/bin/foreign-error.rs
+++ b/review/tools/src/bin/foreign-error.rs
@@ -13,7 +13,7 @@
     let case = Case::start();
     let record = case.record.clone();
     let (primary, replica) = (Server::start("primary-1", &record), Server::start("replica-1", &record));
-    replica.set_read_only();
+    replica.set_read_only(true);
     let node = http::Backend::start("node-1", Duration::ZERO, &record);
     let rows = format!(
         "id,address,port,state\nprimary-1,127.0.0.1,{},serving\nreplica-1,127.0.0.1,{},serving\n",
@@ -54,7 +54,5 @@
          not run; rows at the primary: {}",
         primary.rows("orders").len()
     ));
-    record.line(if wrong > 0 { "rule broken" } else { "rule held" });
-    drop(proxy);
-    std::process::exit(i32::from(wrong > 0));
+    case.finish(proxy, wrong > 0)
 }
--- a/review/tools/src/mysql.rs
+++ b/review/tools/src/mysql.rs
@@ -5,6 +5,7 @@
 
 use crate::sha1::native_proof;
 use crate::{Record, cannot_run, http};
+use std::collections::HashMap;
 use std::io::{self, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::sync::{Arc, Mutex};
@@ -54,8 +55,11 @@
     hangs_at: Option<String>,
     /// `super_read_only`: writes are answered with error 1290.
     is_read_only: bool,
-    /// Reads take too long here: each is given up with error 3024.
-    is_slow: bool,
+    /// Reads fail here: each is answered with error 1030.
+    is_failing: bool,
+    /// Named locks and the connections that hold them.
+    locks: HashMap<String, u64>,
+    connection_count: u64,
     /// Reads have a warning.
     has_warnings: bool,
     connections: Vec<TcpStream>,
@@ -68,6 +72,7 @@
 }
 
 struct Connection {
+    number: u64,
     stream: TcpStream,
     sequence: u8,
     /// What the open transaction has written.
@@ -188,6 +193,11 @@
             self.row_count = 3;
             answer = (3, 0);
             self.warnings = u16::from(upper.contains("/* WARNS */"));
+        } else if let Some(rest) = upper.strip_prefix("SELECT GET_LOCK('") {
+            // A named lock is held by one connection of the server, until it ends or is reset.
+            let name = rest.split('\'').next().unwrap_or("").to_string();
+            let holder = *shared.lock().unwrap().locks.entry(name).or_insert(self.number);
+            return self.send_value(if holder == self.number { "1" } else { "0" });
         } else if upper.starts_with("SELECT ROW_COUNT()") {
             let rows = std::mem::replace(&mut self.row_count, -1);
             return self.send_value(&rows.to_string());
@@ -196,9 +206,12 @@
             return self.send_value(&id.to_string());
         } else if upper.starts_with("SELECT") {
             self.row_count = -1;
-            if shared.lock().unwrap().is_slow {
-                let text = "Query execution was interrupted, maximum statement execution time exceeded";
-                return self.send_error(3024, "HY000", text);
+            if shared.lock().unwrap().is_failing {
+                return self.send_error(
+                    1030,
+                    "HY000",
+                    "Got error 122 - 'Internal error' from storage engine",
+                );
             }
             self.warnings = u16::from(shared.lock().unwrap().has_warnings);
             return self.send_value("7");
@@ -233,6 +246,7 @@
                     self.run(shared, &text)?;
                 }
                 0x1f => {
+                    shared.lock().unwrap().locks.retain(|_, holder| *holder != self.number);
                     (self.transaction, self.row_count, self.insert_id) = (None, -1, 0);
                     self.warnings = 0;
                     self.send_ok(0, 0)?;
@@ -256,7 +270,13 @@
                 state.lock().unwrap().connections.extend(stream.try_clone());
                 let (name, record, shared) = (name.clone(), record.clone(), state.clone());
                 spawn(move || {
+                    let number = {
+                        let mut state = shared.lock().unwrap();
+                        state.connection_count += 1;
+                        state.connection_count
+                    };
                     let mut connection = Connection {
+                        number,
                         stream,
                         sequence: 0,
                         transaction: None,
@@ -267,6 +287,7 @@
                     if let Err(error) = connection.serve(&name, &shared, &record) {
                         record.line(format!("server {name}: a connection ended: {error}"));
                     }
+                    shared.lock().unwrap().locks.retain(|_, holder| *holder != number);
                     let _ = connection.stream.shutdown(Shutdown::Both);
                 });
             }
@@ -279,9 +300,9 @@
         self.shared.lock().unwrap().break_after.push(text.into());
     }
 
-    /// Whether reads take too long, so that the server gives them up with an error.
-    pub fn set_slow(&self, is_slow: bool) {
-        self.shared.lock().unwrap().is_slow = is_slow;
+    /// Whether reads fail with an error.
+    pub fn set_failing(&self, is_failing: bool) {
+        self.shared.lock().unwrap().is_failing = is_failing;
     }
 
     /// A statement with this text hangs for 20 s before it runs.
@@ -289,9 +310,9 @@
         self.shared.lock().unwrap().hangs_at = Some(text.into());
     }
 
-    /// Makes the server answer writes with error 1290.
-    pub fn set_read_only(&self) {
-        self.shared.lock().unwrap().is_read_only = true;
+    /// Whether the server answers writes with error 1290.
+    pub fn set_read_only(&self, is_read_only: bool) {
+        self.shared.lock().unwrap().is_read_only = is_read_only;
     }
 
     /// Whether the answers to reads have a warning.
