--- a/review/tools/src/mysql.rs
+++ b/review/tools/src/mysql.rs
@@ -355,9 +355,9 @@
 }
 
 impl Answer {
-    /// The pages' refusal: it was not done, and trying again is harmless.
+    /// The page's refusal, error 1637 with SQLSTATE 40001: it was not done, and trying again is harmless.
     pub fn is_refused(&self) -> bool {
-        matches!(self, Self::Error(_, state, _) if state == "40001")
+        matches!(self, Self::Error(1637, state, _) if state == "40001")
     }
 }
 
