--- a/review/tools/src/bin/long-body.rs
+++ b/review/tools/src/bin/long-body.rs
@@ -28,6 +28,8 @@
 struct Outcome {
     id: String,
     long: bool,
+    /// Its last byte was written: the proxy has taken it.
+    is_taken: bool,
     status: Option<u16>,
     own_answer: bool,
     error: String,
@@ -105,6 +107,7 @@
             let answer = read_message(&mut stream);
             let after = last_byte.elapsed();
             let outcome = Outcome {
+                is_taken: sent.is_ok(),
                 status: answer.as_ref().ok().map(|a| a.status()),
                 own_answer: answer.as_ref().is_ok_and(|a| a.body == id.as_bytes()),
                 error: answer.err().map(|e| e.to_string()).unwrap_or_default(),
@@ -164,7 +167,7 @@
     let outcomes: Vec<Outcome> = waiting.iter().map(|(_, result)| result.recv().unwrap()).collect();
     let begun: HashSet<String> = backends.iter().flat_map(|b| b.begun.lock().unwrap().clone()).collect();
     let in_time = |o: &&Outcome| o.status.is_some() && o.after <= REMAINING + SLACK;
-    let lost: Vec<&Outcome> = outcomes.iter().filter(|o| !in_time(o)).collect();
+    let lost: Vec<&Outcome> = outcomes.iter().filter(|o| o.is_taken && !in_time(o)).collect();
     let foreign = outcomes.iter().filter(|o| o.status == Some(200) && !o.own_answer).count();
     let count = |long: bool, status: u16| {
         outcomes.iter().filter(|o| o.long == long && o.status == Some(status)).count()
@@ -183,7 +186,5 @@
         ));
     }
     let broken = !lost.is_empty() || foreign > 0;
-    record.line(if broken { "rule broken" } else { "rule held" });
-    drop(proxy);
-    std::process::exit(i32::from(broken));
+    case.finish(proxy, broken)
 }
