--- a/review/tools/src/bin/stale-transaction.rs
+++ b/review/tools/src/bin/stale-transaction.rs
@@ -72,7 +72,5 @@
             server.count_rows("'order B'")
         ));
     }
-    record.line(if broken { "rule broken" } else { "rule held" });
-    drop(proxy);
-    std::process::exit(i32::from(broken));
+    case.finish(proxy, broken)
 }
