Answers and long bodies have time limits by what they wait for

What callers saw: answers whose body came 0.5 s after the head or after a lump ended in 502 while their backend was still writing; requests with long bodies whose backend read slowly were answered seconds late, and those whose backend read nothing not at all.

Cause: any answer that stood still for 0.5 s was given up (connection.rs), whatever its length and the time of its request. The limit on the answer to a long body began when the proxy had read the body, which a slow backend delays, and did not exist before that.

Change: response_timing.rs decides when an incomplete answer is waited for, passed on or given up; upload.rs counts the time of an answer from the latest moment at which the client's last byte had certainly not been written, for which the client's socket is read 64 KiB ahead; a client that has stopped is answered 408 after 2.3 s. A stall of 0.5 s is an event for the decision module, which may repeat the request while the attempt goes on. The two faults share the code that waits for a backend and are mended together.

--- a/crates/dewpier/tests/proxy.rs
+++ b/crates/dewpier/tests/proxy.rs
@@ -217,6 +217,7 @@
             is_request_open: std::rc::Rc::new(std::cell::Cell::new(true)),
             reply_sink: Default::default(),
             exclusive_claim: Default::default(),
+            stall_report: Default::default(),
         };
         let payload = Payload {
             method: "POST".parse().unwrap(),
--- a/crates/http/src/backend.rs
+++ b/crates/http/src/backend.rs
@@ -1,11 +1,13 @@
 //! HTTP backends: their idle connections, attempts and probes, and the exact outcome of each.
 
-use crate::body::{RequestBody, ResponseBody, ResponseSender, UploadProgress};
-use crate::connection::{BackendReply, Connection, ExchangeError, LAST_BYTE_DELAY};
+use crate::body::{RequestBody, ResponseBody, ResponseSender};
+use crate::connection::{BackendReply, Connection, ExchangeContext, ExchangeError, LAST_BYTE_DELAY};
 use crate::headers::forward_response_headers;
 use crate::late_connect::{LateConnects, NewConnection, connect_within};
-use crate::limits::{Budget, Permit};
+use crate::limits::{Budget, MAX_BUFFERED_BODY_BYTES, Permit};
 use crate::payload::Payload;
+use crate::response_timing;
+use crate::upload::Upload;
 use dewpier_operate::metrics::AttemptCounter;
 use dewpier_reuse::{HandshakePrice, LossCost, ReuseHistory, SharedHistory};
 use gannetproxy::engine::{AttemptContext, Upstream, UpstreamResult};
@@ -201,6 +203,16 @@
     Plain,
 }
 
+impl ResponsePolicy {
+    /// Returns whether a response of this status serves a request.
+    fn is_served_by(self, status: StatusCode) -> bool {
+        match self {
+            Self::Platform => status == StatusCode::OK,
+            Self::Plain => !status.is_server_error(),
+        }
+    }
+}
+
 /// The HTTP protocol and the settings for all backends.
 pub struct HttpUpstream {
     /// Limits the open connections to all backends.
@@ -276,7 +288,7 @@
     ) -> impl Future<Output = UpstreamResult<BackendResponse>> + 'static {
         let (response_policy, attempt_counter) = (self.response_policy, self.attempt_counter.clone());
         async move {
-            let upload = match payload.stream_progress() {
+            let upload = match payload.upload() {
                 // Another attempt has already taken the streamed body, so that there is nothing to send.
                 Some(None) => return UpstreamResult::without_reply(Outcome::NeverSent),
                 Some(upload) => upload,
@@ -292,9 +304,7 @@
                 upload,
                 accepts_streaming: true,
             };
-            let request = |progress: Option<&UploadProgress>| {
-                payload.build_request(attempt.deadline - attempt.clock.now(), progress)
-            };
+            let request = || payload.build_request(attempt.deadline - attempt.clock.now());
             let start_stream = |response| attempt.reply_sink.send(response);
             exchange(&endpoint, &attempt, options, payload.method == Method::HEAD, request, start_stream)
                 .await
@@ -308,7 +318,7 @@
     ) -> impl Future<Output = UpstreamResult<()>> + 'static {
         let path = self.probe_path;
         async move {
-            let request = |_: Option<&UploadProgress>| {
+            let request = || {
                 let mut request = Request::new(RequestBody::default());
                 *request.uri_mut() = hyper::Uri::from_static(path);
                 request.headers_mut().insert("host", HeaderValue::from_static("backend"));
@@ -348,8 +358,8 @@
     loss_cost: Option<LossCost>,
     /// Set if a reused connection loses the request.
     lost_on_reused: Option<&'a Cell<bool>>,
-    /// The progress of a streamed request body, and the response timeout after its end.
-    upload: Option<(UploadProgress, Duration)>,
+    /// The progress of a streamed request body.
+    upload: Option<Upload>,
     /// Whether a response that is too long to buffer is accepted.
     accepts_streaming: bool,
 }
@@ -359,7 +369,7 @@
     attempt: &AttemptContext<R>,
     options: ExchangeOptions<'_>,
     head_only: bool,
-    request: impl Fn(Option<&UploadProgress>) -> Option<Request<RequestBody>>,
+    request: impl Fn() -> Option<Request<RequestBody>>,
     start_stream: impl Fn(BackendResponse) -> bool,
 ) -> UpstreamResult<BackendResponse> {
     let ExchangeOptions {
@@ -372,6 +382,8 @@
     } = options;
     let written = &attempt.written;
     let generation = endpoint.generation.get();
+    // Without an end, the response of a probe is not passed on either.
+    let attempt_end = attempt.end_instant().unwrap_or_else(Instant::now);
     let mut new_connection_failed = false;
     let (connection, permit, reply) = loop {
         let Some(ReadyConnection { mut connection, permit, idle_time }) =
@@ -385,13 +397,21 @@
         if upload.is_some() && !attempt.exclusive_claim.claim() {
             return UpstreamResult::without_reply(Outcome::NeverSent);
         }
-        let Some(request_to_send) = request(upload.as_ref().map(|(progress, _)| progress)) else {
+        let Some(request_to_send) = request() else {
             return UpstreamResult::without_reply(Outcome::NeverSent);
         };
         written.set(true);
         let is_new = idle_time.is_none();
         let started = Instant::now();
-        match connection.exchange(request_to_send, attempt_counter.clone(), upload.clone(), !is_new).await {
+        let context = ExchangeContext {
+            attempt_counter: attempt_counter.clone(),
+            upload: upload.clone(),
+            is_reused: !is_new,
+            deadline: attempt_end,
+            is_streamable: &|status| accepts_streaming && response_policy.is_served_by(status),
+            report_stall: &|| attempt.stall_report.send(),
+        };
+        match connection.exchange(request_to_send, context).await {
             Ok(reply) => {
                 endpoint.record_use(idle_time, false);
                 break (connection, permit, reply);
@@ -400,7 +420,7 @@
             Err(error @ ExchangeError::Unsent) if upload.is_some() => {
                 return UpstreamResult::without_reply(error.outcome());
             }
-            Err(error @ ExchangeError::ReplyTimeout) => {
+            Err(error @ (ExchangeError::ReplyTimeout | ExchangeError::ClientStalled)) => {
                 return UpstreamResult::without_reply(error.outcome());
             }
             // A reused connection may have been closed meanwhile; a second failure on a new one is final.
@@ -448,16 +468,17 @@
                 return UpstreamResult::without_reply(Outcome::Reset);
             }
             let remaining_bytes = body.size_hint().exact();
+            let received_bytes = received.len();
             let (sender, stream) = ResponseSender::channel(received, remaining_bytes);
-            (head, ResponseBody::Streamed(stream), Some((connection, permit, body, sender)))
+            let streaming = Some((connection, permit, body, sender, received_bytes));
+            (head, ResponseBody::Streamed(stream), streaming)
         }
     };
     let is_rejected = || head.headers.get("x-turned-away").is_some_and(|v| v == "1");
     let is_plain = response_policy == ResponsePolicy::Plain;
     let outcome = match head.status {
-        StatusCode::OK => Outcome::Served,
+        status if response_policy.is_served_by(status) => Outcome::Served,
         StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if is_rejected() => Outcome::Rejected,
-        status if is_plain && !status.is_server_error() => Outcome::Served,
         _ => Outcome::Error,
     };
     let report = head.headers.get("x-pressure").and_then(|v| parse_load_report(v.as_bytes()));
@@ -472,22 +493,28 @@
         }
         response = Some(BackendResponse { status: head.status, headers, body });
     }
-    if let Some((mut connection, permit, mut body, sender)) = streaming {
+    if let Some((mut connection, permit, mut body, sender, mut received_bytes)) = streaming {
         let Some(response) = response.filter(|_| outcome == Outcome::Served) else {
             return UpstreamResult { outcome, reply: None, error_response: None, report };
         };
         if !start_stream(response) {
             return UpstreamResult::without_reply(Outcome::Cancelled);
         }
+        let mut last_byte_at = Instant::now();
         loop {
+            let is_long = received_bytes > MAX_BUFFERED_BODY_BYTES;
+            let end = response_timing::stream_end(is_long, last_byte_at, attempt_end);
             // Reads on once the client can take more; a disconnected client ends the attempt.
             let chunk = tokio::select! {
                 chunk = connection.read_chunk(&mut body) => chunk,
                 () = sender.client_disconnected() => return UpstreamResult::without_reply(Outcome::Cancelled),
+                () = sleep_until(end) => return UpstreamResult::without_reply(Outcome::Reset),
             };
             match chunk {
                 Ok(Some(data)) if data.is_empty() => {}
                 Ok(Some(data)) => {
+                    received_bytes += data.len();
+                    last_byte_at = Instant::now();
                     if !sender.send_chunk(data).await {
                         return UpstreamResult::without_reply(Outcome::Cancelled);
                     }
@@ -505,6 +532,14 @@
     UpstreamResult { outcome, reply, error_response, report }
 }
 
+/// Sleeps until `at`, or for ever.
+async fn sleep_until(at: Option<Instant>) {
+    match at {
+        Some(at) => tokio::time::sleep_until(at).await,
+        None => std::future::pending().await,
+    }
+}
+
 /// Parses a load report, ignoring unknown fields.
 fn parse_load_report(json: &[u8]) -> Option<Report> {
     let fields: serde_json::Map<String, serde_json::Value> = serde_json::from_slice(json).ok()?;
--- a/crates/http/src/body.rs
+++ b/crates/http/src/body.rs
@@ -5,6 +5,7 @@
 
 use crate::clients::ClientConnection;
 use crate::limits::Permit;
+use crate::upload::Upload;
 use bytes::Bytes;
 use dewpier_operate::metrics::{OpenRequest, RequestOutcome};
 use http_body_util::Full;
@@ -12,10 +13,8 @@
 use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
-use std::sync::{Arc, Mutex};
 use std::task::{Context, Poll, ready};
 use tokio::sync::mpsc;
-use tokio::time::Instant;
 
 /// Chunks of a response that may wait for the client.
 const MAX_PENDING_CHUNKS: usize = 2;
@@ -27,36 +26,17 @@
     pub received: Bytes,
     /// The rest of the body.
     pub remaining: Incoming,
-    /// The length of the rest in bytes, if known.
-    pub remaining_bytes: Option<u64>,
     /// The share of the memory budget that the body uses.
     pub permit: Permit,
 }
 
-/// The progress of a streamed request body, shared by its reader and its writer.
-#[derive(Clone, Debug, Default)]
-pub struct UploadProgress(Arc<Mutex<Option<Instant>>>);
-
-impl UploadProgress {
-    /// Returns when the last chunk was handed to the connection, if it was.
-    pub fn completed_at(&self) -> Option<Instant> {
-        self.0.lock().ok().and_then(|completed_at| *completed_at)
-    }
-
-    fn mark_complete(&self) {
-        if let Ok(mut completed_at) = self.0.lock() {
-            completed_at.get_or_insert_with(Instant::now);
-        }
-    }
-}
-
 /// A request body on its way to a backend.
 #[derive(Debug)]
 pub enum RequestBody {
     /// The whole body.
     Buffered(Full<Bytes>),
     /// A body that is streamed, and its progress.
-    Streamed(PartialBody, UploadProgress),
+    Streamed(PartialBody, Upload),
 }
 
 impl Default for RequestBody {
@@ -77,7 +57,7 @@
             Self::Buffered(buffered) => {
                 Pin::new(buffered).poll_frame(cx).map(|f| f.map(|f| f.map_err(|never| match never {})))
             }
-            Self::Streamed(partial, progress) => {
+            Self::Streamed(partial, upload) => {
                 if !partial.received.is_empty() {
                     return Poll::Ready(Some(Ok(Frame::data(std::mem::take(&mut partial.received)))));
                 }
@@ -86,17 +66,15 @@
                         Some(Ok(frame)) => frame,
                         Some(Err(error)) => return Poll::Ready(Some(Err(error))),
                         None => {
-                            progress.mark_complete();
+                            upload.mark_complete();
                             return Poll::Ready(None);
                         }
                     };
                     // Trailers belong to the client's connection and are not forwarded.
                     let Ok(data) = frame.into_data() else { continue };
-                    if let Some(remaining) = &mut partial.remaining_bytes {
-                        *remaining = remaining.saturating_sub(data.len() as u64);
-                        if *remaining == 0 {
-                            progress.mark_complete();
-                        }
+                    upload.input().record_handed_on(data.len());
+                    if upload.input().remaining_bytes() == Some(0) {
+                        upload.mark_complete();
                     }
                     return Poll::Ready(Some(Ok(Frame::data(data))));
                 }
@@ -107,14 +85,16 @@
     fn is_end_stream(&self) -> bool {
         match self {
             Self::Buffered(buffered) => buffered.is_end_stream(),
-            Self::Streamed(partial, _) => partial.received.is_empty() && partial.remaining_bytes == Some(0),
+            Self::Streamed(partial, upload) => {
+                partial.received.is_empty() && upload.input().remaining_bytes() == Some(0)
+            }
         }
     }
 
     fn size_hint(&self) -> SizeHint {
         match self {
             Self::Buffered(buffered) => buffered.size_hint(),
-            Self::Streamed(partial, _) => match partial.remaining_bytes {
+            Self::Streamed(partial, upload) => match upload.input().remaining_bytes() {
                 Some(remaining) => SizeHint::with_exact(partial.received.len() as u64 + remaining),
                 None => SizeHint::default(),
             },
@@ -199,7 +179,7 @@
         accepted_request: OpenRequest,
         client: Rc<ClientConnection>,
     ) -> Self {
-        client.set_streaming(true);
+        client.start_response();
         Self::Streamed(Box::new(StreamedResponse { body, accepted_request: Some(accepted_request), client }))
     }
 }
--- a/crates/http/src/clients.rs
+++ b/crates/http/src/clients.rs
@@ -1,6 +1,7 @@
 //! Tracks client connections: their states, which are overdue, and which are closed to make room.
 
 use crate::head_scanner::HeadScanner;
+use crate::upload::ClientInput;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
@@ -9,7 +10,7 @@
 
 /// Time within which the head of a request must arrive, counted from its first byte, or from the connect for
 /// the first request. Protects against clients that send nothing or send endlessly slowly.
-pub const HEAD_READ_TIMEOUT: Duration = Duration::from_millis(2700);
+pub const HEAD_READ_TIMEOUT: Duration = Duration::from_millis(2500);
 /// Time without progress in either direction after which a streamed body is cut off.
 const STREAM_STALL_TIMEOUT: Duration = Duration::from_secs(15);
 /// Time after which a connection without an open request is closed.
@@ -46,8 +47,12 @@
     head_scanner: Cell<HeadScanner>,
     /// The head has arrived, and the body has not.
     reading_body: Cell<bool>,
+    /// The body of a request, while it is read.
+    input: Rc<ClientInput>,
     /// A request or response body is being streamed.
     streaming: Cell<bool>,
+    /// The streamed body is that of a response.
+    response_started: Cell<bool>,
     /// When bytes were last received or sent, or streaming started or stopped.
     last_activity: Cell<Instant>,
     /// The stream stalled, and the connection is closed although a request is open.
@@ -70,6 +75,22 @@
         self.head_scanner.get().has_content_length()
     }
 
+    /// Returns what is known of the body of the request that is read.
+    pub fn input(&self) -> &Rc<ClientInput> {
+        &self.input
+    }
+
+    /// Returns whether the body of a request is streamed and incomplete.
+    pub fn is_uploading(&self) -> bool {
+        self.request_open.get() && !self.response_started.get() && self.input.is_receiving()
+    }
+
+    /// Records that a streamed response has started.
+    pub fn start_response(&self) {
+        self.response_started.set(true);
+        self.set_streaming(true);
+    }
+
     /// Records that a body starts or stops being streamed.
     pub fn set_streaming(&self, streaming: bool) {
         self.last_activity.set(Instant::now());
@@ -90,6 +111,8 @@
         self.request_open.set(false);
         self.reading_body.set(false);
         self.streaming.set(false);
+        self.response_started.set(false);
+        self.input.end_body(now);
         self.idle_since.set(now);
         let mut head_scanner = HeadScanner::default();
         if self.received_early.get() {
@@ -117,10 +140,9 @@
         self.reading_body.get() || self.read_started_at().is_some()
     }
 
-    /// Returns whether a request is complete and unanswered and nothing is streamed, so that further input
-    /// isn't part of it.
+    /// Returns whether a request is complete and its answer has not started, so that further input isn't part of it.
     pub fn is_awaiting_answer(&self) -> bool {
-        self.request_open.get() && !self.streaming.get()
+        self.request_open.get() && !self.response_started.get() && !self.input.is_receiving()
     }
 
     /// Records that bytes were written to the client.
@@ -130,8 +152,10 @@
 
     /// Records bytes received from the client.
     pub fn record_read(&self, bytes: &[u8]) {
+        let now = Instant::now();
         self.has_received.set(true);
-        self.last_activity.set(Instant::now());
+        self.last_activity.set(now);
+        self.input.record_bytes(now, bytes);
         if !self.request_open.get() && !self.reading_body.get() {
             let mut head_scanner = self.head_scanner.get();
             head_scanner.feed(bytes);
@@ -265,7 +289,9 @@
             has_received: Cell::new(false),
             head_scanner: Cell::default(),
             reading_body: Cell::new(false),
+            input: ClientInput::new(now),
             streaming: Cell::new(false),
+            response_started: Cell::new(false),
             last_activity: Cell::new(now),
             cut_off: Cell::new(false),
             received_early: Cell::new(false),
--- a/crates/http/src/connection.rs
+++ b/crates/http/src/connection.rs
@@ -1,7 +1,9 @@
 //! A connection to a backend or to the discovery service, and one request and response on it.
 
-use crate::body::{RequestBody, UploadProgress};
+use crate::body::RequestBody;
 use crate::limits::{MAX_BUFFERED_BODY_BYTES, MAX_HEAD_BYTES};
+use crate::response_timing::{HeldResponse, NextStep, STALL_SUSPECTED_AFTER, STALL_TIMEOUT};
+use crate::upload::{Upload, UploadEnd};
 use bytes::{Bytes, BytesMut};
 use dewpier_operate::metrics::AttemptCounter;
 use gannetproxy::Outcome;
@@ -10,13 +12,14 @@
 use hyper::client::conn::http1;
 use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use hyper::http::response::Parts;
-use hyper::{Request, Response};
+use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
+use std::cell::{Cell, RefCell};
 use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
 use std::pin::{Pin, pin};
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::rc::Rc;
 use std::sync::{Arc, Mutex};
 use std::task::{Context, Poll, Waker, ready};
 use std::time::Duration;
@@ -24,9 +27,7 @@
 use tokio::net::TcpStream;
 use tokio::time::{Instant, Sleep};
 
-/// Time without new bytes after which a response that has started counts as broken.
-const STALL_TIMEOUT: Duration = Duration::from_millis(500);
-/// Interval at which stalls and the end of a streamed request body are checked.
+/// Interval at which a response that has not started is checked.
 const STALL_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
 /// When a byte of the current response was last received.
@@ -44,11 +45,18 @@
         self.0.lock().is_ok_and(|last_received| last_received.is_some())
     }
 
-    /// Returns once the response has stalled.
-    async fn wait_until_stalled(&self) {
-        let is_stalled = || self.0.lock().is_ok_and(|h| h.is_some_and(|at| at.elapsed() >= STALL_TIMEOUT));
-        while !is_stalled() {
-            tokio::time::sleep(STALL_CHECK_INTERVAL).await;
+    fn get(&self) -> Option<Instant> {
+        self.0.lock().ok().and_then(|last_received| *last_received)
+    }
+
+    /// Returns once nothing has arrived for `timeout` since the last byte of a response that has started.
+    async fn wait_until_stalled(&self, timeout: Duration) {
+        loop {
+            let stalled_at = self.get().map(|at| at + timeout);
+            if stalled_at.is_some_and(|at| Instant::now() >= at) {
+                return;
+            }
+            tokio::time::sleep_until(stalled_at.unwrap_or(Instant::now() + STALL_CHECK_INTERVAL)).await;
         }
     }
 }
@@ -63,43 +71,37 @@
 #[derive(Default)]
 struct RequestTransmission {
     /// All bytes have been sent.
-    sent: AtomicBool,
+    sent: Cell<bool>,
     /// Counts the attempt once it has been sent, if set.
-    attempt_counter: Mutex<Option<AttemptCounter>>,
+    attempt_counter: Cell<Option<AttemptCounter>>,
     /// The progress of the request body, if it is streamed.
-    upload: Mutex<Option<UploadProgress>>,
+    upload: RefCell<Option<Upload>>,
     /// Bytes received before the request is sent are an error, as they belong to an earlier request.
-    reject_early_data: AtomicBool,
+    reject_early_data: Cell<bool>,
 }
 
 impl RequestTransmission {
-    fn begin(&self, attempt_counter: Option<AttemptCounter>, progress: Option<UploadProgress>, reused: bool) {
-        self.reject_early_data.store(reused && progress.is_none(), Ordering::Relaxed);
-        if let Ok(mut upload) = self.upload.lock() {
-            *upload = progress;
-        }
-        self.sent.store(false, Ordering::Relaxed);
-        if let Ok(mut counter) = self.attempt_counter.lock() {
-            *counter = attempt_counter;
-        }
+    fn begin(&self, attempt_counter: Option<AttemptCounter>, upload: Option<Upload>, reused: bool) {
+        self.reject_early_data.set(reused && upload.is_none());
+        self.upload.replace(upload);
+        self.sent.set(false);
+        self.attempt_counter.set(attempt_counter);
     }
 
     /// Returns whether received bytes invalidate the connection at this point.
     fn rejects_early_data(&self) -> bool {
-        self.reject_early_data.load(Ordering::Relaxed) && !self.sent.load(Ordering::Relaxed)
+        self.reject_early_data.get() && !self.sent.get()
     }
 
     /// Returns whether more of the request body is to come.
     fn is_upload_in_progress(&self) -> bool {
-        self.upload.lock().is_ok_and(|p| p.as_ref().is_some_and(|p| p.completed_at().is_none()))
+        self.upload.borrow().as_ref().is_some_and(|upload| !upload.is_complete())
     }
 
     fn mark_sent(&self) {
-        self.sent.store(true, Ordering::Relaxed);
+        self.sent.set(true);
         // The counter is removed, because a request may be flushed repeatedly.
-        if let Some(attempts) = self.attempt_counter.lock().ok().and_then(|mut counter| counter.take()) {
-            attempts.increment();
-        }
+        self.attempt_counter.take().into_iter().for_each(|attempts| attempts.increment());
     }
 }
 
@@ -107,7 +109,7 @@
 struct DelayedStream {
     stream: TcpStream,
     last_received: LastReceived,
-    transmission: Arc<RequestTransmission>,
+    transmission: Rc<RequestTransmission>,
     held_byte: Option<u8>,
     /// Fires when the held byte may be sent.
     hold_timer: Pin<Box<Sleep>>,
@@ -184,7 +186,7 @@
     sender: http1::SendRequest<RequestBody>,
     driver: ConnectionDriver,
     last_received: LastReceived,
-    transmission: Arc<RequestTransmission>,
+    transmission: Rc<RequestTransmission>,
 }
 
 struct ConnectionDriver {
@@ -204,6 +206,8 @@
     NoReply,
     /// The request was sent, and no response arrived in time.
     ReplyTimeout,
+    /// The client stopped sending the request.
+    ClientStalled,
 }
 
 impl ExchangeError {
@@ -214,6 +218,7 @@
             Self::Unsent => Outcome::NoConnection,
             Self::NoReply => Outcome::Reset,
             Self::ReplyTimeout => Outcome::Timeout,
+            Self::ClientStalled => Outcome::NeverSent,
         }
     }
 }
@@ -226,24 +231,37 @@
     Streamed(Parts, Bytes, Incoming),
 }
 
-/// Returns once the response timeout has passed since the end of a streamed request body. Never returns for
-/// other requests.
-async fn wait_for_reply_timeout(upload: Option<(UploadProgress, Duration)>) {
-    let Some((progress, response_timeout)) = upload else { return std::future::pending().await };
-    loop {
-        match progress.completed_at() {
-            Some(at) => return tokio::time::sleep_until(at + response_timeout).await,
-            None => tokio::time::sleep(STALL_CHECK_INTERVAL).await,
-        }
+/// Returns once a streamed request body or the response to it is not waited for any more. Never returns for other
+/// requests.
+async fn wait_for_upload_end(upload: Option<&Upload>) -> UploadEnd {
+    match upload {
+        Some(upload) => upload.wait_for_end().await,
+        None => std::future::pending().await,
     }
 }
 
+/// How a request is sent and its response is received.
+pub struct ExchangeContext<'a> {
+    /// Counts the request once it is sent.
+    pub attempt_counter: Option<AttemptCounter>,
+    /// The progress of a streamed request body.
+    pub upload: Option<Upload>,
+    /// The connection has carried other requests.
+    pub is_reused: bool,
+    /// When the response must have begun to be passed on, if its request body is not streamed.
+    pub deadline: Instant,
+    /// Whether a response of this status may be passed on before it is whole.
+    pub is_streamable: &'a dyn Fn(StatusCode) -> bool,
+    /// Called if the response seems to have stalled.
+    pub report_stall: &'a dyn Fn(),
+}
+
 /// Connects to `address`.
 pub async fn connect(address: SocketAddr, connect_timeout: Duration) -> io::Result<Connection> {
     let stream = tokio::time::timeout(connect_timeout, TcpStream::connect(address)).await??;
     stream.set_nodelay(true)?;
     let last_received = LastReceived::default();
-    let transmission = Arc::new(RequestTransmission::default());
+    let transmission = Rc::new(RequestTransmission::default());
     let hold_timer = Box::pin(tokio::time::sleep(Duration::ZERO));
     let stream = DelayedStream {
         stream,
@@ -278,59 +296,116 @@
     }
 
     /// Sends a request and waits for the response: its whole body, or its start if the body is too long to
-    /// buffer.
+    /// buffer or arrives slowly.
     ///
-    /// A response that stalls or has ambiguous framing is an error. On a connection that was `reused`, bytes
+    /// A response that stalls or has ambiguous framing is an error. On a connection that was reused, bytes
     /// received before the request was sent belong to an earlier request and are an error too.
-    /// `attempt_counter` counts the request once it is sent.
     pub async fn exchange(
         &mut self,
-        mut request: Request<RequestBody>,
-        attempt_counter: Option<AttemptCounter>,
-        upload: Option<(UploadProgress, Duration)>,
-        reused: bool,
+        request: Request<RequestBody>,
+        context: ExchangeContext<'_>,
     ) -> Result<BackendReply, ExchangeError> {
-        let last_received = self.last_received.clone();
-        last_received.set(None);
+        self.last_received.set(None);
+        let ExchangeContext { attempt_counter, upload, is_reused, .. } = &context;
+        self.transmission.begin(attempt_counter.clone(), upload.clone(), *is_reused);
         let transmission = self.transmission.clone();
-        transmission.begin(attempt_counter, upload.as_ref().map(|(progress, _)| progress.clone()), reused);
-        let informational_reset = last_received.clone();
+        let upload = upload.clone();
+        tokio::select! {
+            reply = self.receive(request, &context) => reply,
+            end = wait_for_upload_end(upload.as_ref()) => Err(match end {
+                UploadEnd::ClientStalled => ExchangeError::ClientStalled,
+                UploadEnd::AnswerDue if transmission.sent.get() => ExchangeError::ReplyTimeout,
+                // A backend begins a request with its last byte.
+                UploadEnd::AnswerDue => ExchangeError::Unsent,
+            }),
+        }
+    }
+
+    async fn receive(
+        &mut self,
+        request: Request<RequestBody>,
+        context: &ExchangeContext<'_>,
+    ) -> Result<BackendReply, ExchangeError> {
+        let (head, body) = self.receive_head(request).await?.into_parts();
+        let has_ambiguous_length =
+            [TRANSFER_ENCODING, CONTENT_LENGTH].iter().all(|n| head.headers.contains_key(n));
+        if has_ambiguous_length || head.status.is_informational() {
+            return Err(ExchangeError::NoReply);
+        }
+        self.receive_body(head, body, context).await
+    }
+
+    /// Sends a request and waits for the head of its final response.
+    async fn receive_head(
+        &mut self,
+        mut request: Request<RequestBody>,
+    ) -> Result<Response<Incoming>, ExchangeError> {
+        let (last_received, transmission) = (self.last_received.clone(), self.transmission.clone());
         // Informational responses may arrive long before the final one.
+        let informational_reset = last_received.clone();
         hyper::ext::on_informational(&mut request, move |_| informational_reset.set(None));
-        let response = async {
-            let response = match self.send(request).await {
-                Some(Ok(_)) if transmission.rejects_early_data() => return Err(ExchangeError::Unsent),
-                Some(Ok(response)) => response,
-                // The connection ended before the request was sent.
-                _ if !transmission.sent.load(Ordering::Relaxed) => return Err(ExchangeError::Unsent),
-                _ => return Err(ExchangeError::NoReply),
+        let response = tokio::select! {
+            response = self.send(request) => response,
+            () = last_received.wait_until_stalled(STALL_TIMEOUT) => return Err(ExchangeError::NoReply),
+        };
+        match response {
+            Some(Ok(_)) if transmission.rejects_early_data() => Err(ExchangeError::Unsent),
+            Some(Ok(response)) => Ok(response),
+            // The connection ended before the request was sent.
+            _ if !transmission.sent.get() => Err(ExchangeError::Unsent),
+            _ => Err(ExchangeError::NoReply),
+        }
+    }
+
+    /// Receives a body, until it is whole or is to be passed on as it arrives.
+    async fn receive_body(
+        &mut self,
+        head: Parts,
+        mut body: Incoming,
+        context: &ExchangeContext<'_>,
+    ) -> Result<BackendReply, ExchangeError> {
+        let head_at = Instant::now();
+        let last_received = self.last_received.clone();
+        let length = body.size_hint().exact();
+        let mut held = HeldResponse {
+            is_streamable: (context.is_streamable)(head.status),
+            is_long: length.map(|length| length > MAX_BUFFERED_BODY_BYTES as u64),
+            head_at,
+            body_at: None,
+            last_byte_at: head_at,
+        };
+        let capacity = body.size_hint().lower().min(MAX_BUFFERED_BODY_BYTES as u64) as usize;
+        let mut received = BytesMut::with_capacity(capacity);
+        let mut is_stall_reported = false;
+        loop {
+            let now = Instant::now();
+            held.last_byte_at = last_received.get().unwrap_or(head_at).max(head_at);
+            let deadline = context.upload.as_ref().map_or(context.deadline, |upload| upload.due(now));
+            let wait_until = match held.next_step(now, deadline) {
+                NextStep::GiveUp => return Err(ExchangeError::NoReply),
+                NextStep::Stream => return Ok(BackendReply::Streamed(head, received.freeze(), body)),
+                NextStep::WaitUntil(at) => at,
+            };
+            let suspected_at = held.last_byte_at + STALL_SUSPECTED_AFTER;
+            if now >= suspected_at && !std::mem::replace(&mut is_stall_reported, true) {
+                (context.report_stall)();
+            }
+            let wake_at = if is_stall_reported { wait_until } else { wait_until.min(suspected_at) };
+            let frame = tokio::select! {
+                frame = self.drive(body.frame()) => frame,
+                () = tokio::time::sleep_until(wake_at) => continue,
             };
-            let (head, mut body) = response.into_parts();
-            let has_ambiguous_length =
-                [TRANSFER_ENCODING, CONTENT_LENGTH].iter().all(|n| head.headers.contains_key(n));
-            if has_ambiguous_length || head.status.is_informational() {
-                return Err(ExchangeError::NoReply);
+            match frame {
+                Some(Some(Ok(frame))) => received.extend_from_slice(&frame.into_data().unwrap_or_default()),
+                Some(None) => return Ok(BackendReply::Buffered(head, received.freeze())),
+                _ => return Err(ExchangeError::NoReply),
             }
-            let mut received = BytesMut::with_capacity(
-                body.size_hint().lower().min(MAX_BUFFERED_BODY_BYTES as u64) as usize,
-            );
-            loop {
-                match self.drive(body.frame()).await {
-                    Some(Some(Ok(frame))) => {
-                        received.extend_from_slice(&frame.into_data().unwrap_or_default())
-                    }
-                    Some(None) => return Ok(BackendReply::Buffered(head, received.freeze())),
-                    _ => return Err(ExchangeError::NoReply),
-                }
-                if received.len() > MAX_BUFFERED_BODY_BYTES {
-                    return Ok(BackendReply::Streamed(head, received.freeze(), body));
-                }
+            if received.len() > MAX_BUFFERED_BODY_BYTES {
+                return Ok(BackendReply::Streamed(head, received.freeze(), body));
+            }
+            if !received.is_empty() {
+                held.body_at.get_or_insert_with(Instant::now);
             }
-        };
-        tokio::select! {
-            response = response => response,
-            () = last_received.wait_until_stalled() => Err(ExchangeError::NoReply),
-            () = wait_for_reply_timeout(upload) => Err(ExchangeError::ReplyTimeout),
         }
     }
 
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -18,6 +18,8 @@
 pub mod listing;
 pub mod payload;
 pub mod request;
+pub mod response_timing;
 pub mod routes;
 pub mod server;
 pub mod socket;
+pub mod upload;
--- a/crates/http/src/request.rs
+++ b/crates/http/src/request.rs
@@ -6,6 +6,7 @@
 use crate::limits::{Budget, MAX_BUFFERED_BODY_BYTES, Permit};
 use crate::payload::{Payload, PayloadBody};
 use crate::routes::Routes;
+use crate::upload::{CLIENT_STALL_TIMEOUT, ClientInput, Upload};
 use bytes::{Bytes, BytesMut};
 use dewpier_reuse::LossCost;
 use gannetproxy::{Class, Effect, Request, RequestId, Settings, Time};
@@ -108,6 +109,7 @@
     dialect: &Dialect,
     budgets: &BodyBudgets,
     raw_content_length: Option<bool>,
+    input: &Rc<ClientInput>,
 ) -> Result<ParsedRequest, RequestError> {
     let (mut head, body) = request.into_parts();
     // hyper drops Content-Length if Transfer-Encoding precedes it. Both together are rejected, because a
@@ -148,8 +150,12 @@
     let permit = if is_long { streamed } else { buffered }
         .try_acquire(reserved_bytes)
         .ok_or(RequestError::BodyMemoryFull)?;
+    input.begin_body(Instant::now(), length);
     let (body, body_permit) = match read_body(body, length).await? {
-        ReadBody::Complete(body) => (PayloadBody::Buffered(body), Some(permit)),
+        ReadBody::Complete(body) => {
+            input.end_body(Instant::now());
+            (PayloadBody::Buffered(body), Some(permit))
+        }
         ReadBody::Partial(received, remaining) => {
             // A body that turns out to be long moves to the budget for streamed bodies.
             let permit = if is_long {
@@ -157,12 +163,11 @@
             } else {
                 streamed.try_acquire(reserved_bytes).ok_or(RequestError::BodyMemoryFull)?
             };
-            let remaining_bytes = length.map(|length| length.saturating_sub(received.len() as u64));
             let response_timeout = Duration::try_from_secs_f64(request.budget).unwrap_or_default();
             (
                 PayloadBody::Streamed(
-                    RefCell::new(Some(PartialBody { received, remaining, remaining_bytes, permit })),
-                    response_timeout,
+                    RefCell::new(Some(PartialBody { received, remaining, permit })),
+                    Upload::new(input.clone(), response_timeout),
                 ),
                 None,
             )
@@ -191,13 +196,16 @@
     }
     let mut received = BytesMut::with_capacity(length.map_or(0, |l| usize::try_from(l).unwrap_or(0)));
     let started = Instant::now();
+    let mut last_byte_at = started;
     loop {
-        let deadline = started
+        let slowest_end = started
             + BODY_BASE_TIMEOUT
             + Duration::from_secs(1) * received.len() as u32 / MIN_BODY_BYTES_PER_SECOND;
+        let deadline = slowest_end.min(last_byte_at + CLIENT_STALL_TIMEOUT);
         let frame =
             tokio::time::timeout_at(deadline, body.frame()).await.map_err(|_| RequestError::BodyTimeout)?;
         let Some(frame) = frame else { return Ok(ReadBody::Complete(received.freeze())) };
+        last_byte_at = Instant::now();
         received.extend_from_slice(
             &frame.map_err(|_| RequestError::BodyIncomplete)?.into_data().unwrap_or_default(),
         );
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -385,7 +385,7 @@
     async fn parse_request(
         &self,
         request: hyper::Request<Incoming>,
-        raw_content_length: Option<bool>,
+        client: &ClientConnection,
     ) -> Result<ParsedRequest, RequestError> {
         request::read_request(
             request,
@@ -393,7 +393,8 @@
             &self.wire,
             &self.dialect,
             &self.body_budgets,
-            raw_content_length,
+            client.has_content_length(),
+            client.input(),
         )
         .await
     }
@@ -411,7 +412,7 @@
             };
         }
         client.start_body();
-        let parsed = match self.parse_request(request, client.has_content_length()).await {
+        let parsed = match self.parse_request(request, client).await {
             Ok(parsed) => parsed,
             Err(error) => return invalid_request_reply(&error),
         };
@@ -468,6 +469,9 @@
                 }
                 reply
             }
+            Ok(Answer::Rejected(_, None)) if client.input().is_stalled(Instant::now()) => {
+                invalid_request_reply(&RequestError::BodyTimeout)
+            }
             Ok(Answer::Rejected(wait, None)) => {
                 let mut reply = plain_reply(StatusCode::SERVICE_UNAVAILABLE, "refused, try again\n");
                 set_retry_after(&mut reply, wait, &self.dialect);
--- a/crates/http/src/socket.rs
+++ b/crates/http/src/socket.rs
@@ -4,6 +4,7 @@
 //! even behind unread bytes. On shutdown it drains the input, so that the last response arrives.
 
 use crate::clients::ClientConnection;
+use crate::limits::MAX_BUFFERED_BODY_BYTES;
 use bytes::{Buf, BytesMut};
 use std::cell::RefCell;
 use std::io;
@@ -13,11 +14,14 @@
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
-use tokio::time::Sleep;
+use tokio::time::{Instant, Sleep};
 
 /// Largest number of bytes that are read ahead and kept for the next request. Any more are discarded and the
 /// connection ends with the current response, because the next request is incomplete.
 pub const MAX_READ_AHEAD_BYTES: usize = 16 << 10;
+/// Largest number of bytes of a streamed request body that are read ahead while its backend takes no more, as many as
+/// its share of the memory for bodies.
+const MAX_UPLOAD_READ_AHEAD_BYTES: usize = MAX_BUFFERED_BODY_BYTES;
 /// How long input is drained after the write side was shut down.
 const LINGER_TIMEOUT: Duration = Duration::from_millis(300);
 /// Largest number of bytes that are drained. Closing a socket with unread input would make the kernel discard
@@ -90,6 +94,22 @@
                 self.read_ahead.extend_from_slice(read);
             }
         }
+        // The answer to a request is due by its last byte, and a client that has gone needs none: both are seen only
+        // if the body is read although its backend takes no more.
+        while self.client.is_uploading() && self.read_ahead.len() < MAX_UPLOAD_READ_AHEAD_BYTES {
+            let mut buffer = ReadBuf::new(&mut bytes);
+            let Poll::Ready(read) = Pin::new(&mut self.stream).poll_read(cx, &mut buffer) else {
+                if self.client.input().is_certainly_incomplete(self.read_ahead.len()) {
+                    self.client.input().record_waiting(Instant::now());
+                }
+                return Poll::Pending;
+            };
+            if read.is_err() || buffer.filled().is_empty() {
+                return Poll::Ready(());
+            }
+            self.client.record_read(buffer.filled());
+            self.read_ahead.extend_from_slice(buffer.filled());
+        }
         Poll::Pending
     }
 
@@ -108,6 +128,10 @@
         if buffer.filled().len() > before {
             self.client.record_read(&buffer.filled()[before..]);
         }
+        if read.is_pending() {
+            // The HTTP library reads only if it holds no more of the body.
+            self.client.input().record_waiting(Instant::now());
+        }
         read
     }
 
--- a/crates/http/tests/common/mod.rs
+++ b/crates/http/tests/common/mod.rs
@@ -40,6 +40,7 @@
         is_request_open: Rc::new(Cell::new(true)),
         reply_sink: Default::default(),
         exclusive_claim: Default::default(),
+        stall_report: Default::default(),
     };
     let payload = Payload {
         method: "POST".parse().unwrap(),
--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -15,7 +15,9 @@
 pub use budget::{Budget, Permit};
 pub use clock::Clock;
 pub use list::{BackendListUpdate, ListRequest, ListedBackend};
-pub use upstream::{AttemptContext, ExclusiveClaim, Lease, ReplySink, SendGate, Upstream, UpstreamResult};
+pub use upstream::{
+    AttemptContext, ExclusiveClaim, Lease, ReplySink, SendGate, StallReport, Upstream, UpstreamResult,
+};
 
 use crate::{
     Action, AttemptResult, BackendEntry, BackendId, Balancer, Event, ListUpdate, Outcome, Report, Request,
@@ -659,6 +661,7 @@
         let (has_affinity, is_request_open) = (open.has_affinity, open.is_request_open.clone());
         self.notify_observer(id, attempt, AttemptEvent::Started(backend, open.class));
         let (reply_sink, exclusive_claim) = (self.reply_sink(id, attempt), self.exclusive_claim(id, attempt));
+        let stall_report = self.stall_report(id, attempt);
         let clock = self.clock;
         let attempt_context = AttemptContext {
             gate,
@@ -670,6 +673,7 @@
             is_request_open,
             reply_sink,
             exclusive_claim,
+            stall_report,
         };
         let running_attempt = self.upstream.attempt(endpoint, open.payload.clone(), attempt_context);
         let task = tokio::task::spawn_local(async move {
@@ -709,6 +713,7 @@
                 is_request_open: Rc::new(Cell::new(true)),
                 reply_sink: ReplySink::default(),
                 exclusive_claim: ExclusiveClaim::default(),
+                stall_report: StallReport::default(),
             };
             let probe = self.upstream.probe(known.endpoint.clone(), attempt_context);
             tokio::task::spawn_local(async move {
--- a/src/engine/streamed.rs
+++ b/src/engine/streamed.rs
@@ -3,7 +3,7 @@
 //! Once the first part of a reply has gone to the client, the attempt that streams it is the only one of its
 //! request.
 
-use super::{Answer, Engine, ExclusiveClaim, QueuedEvent, ReplySink, Upstream, close_request};
+use super::{Answer, Engine, ExclusiveClaim, QueuedEvent, ReplySink, StallReport, Upstream, close_request};
 use crate::{Event, RequestId};
 use std::rc::Rc;
 
@@ -24,6 +24,18 @@
         })))
     }
 
+    /// Creates the report by which an attempt tells that its reply has stalled.
+    pub(super) fn stall_report(&self, id: RequestId, attempt: usize) -> StallReport {
+        let engine = self.this.clone();
+        StallReport(Some(Rc::new(move || {
+            if let Some(engine) = engine.upgrade() {
+                let mut state = engine.state.borrow_mut();
+                state.event_queue.push_back(QueuedEvent::Event(Event::AttemptStalled { id, attempt }));
+                engine.decide(state);
+            }
+        })))
+    }
+
     /// Makes an attempt the only one of its request. The decision module is told that the request has
     /// started: otherwise its timers would run while the client is still sending, and a slow client would
     /// count as a slow backend.
--- a/src/engine/upstream.rs
+++ b/src/engine/upstream.rs
@@ -115,9 +115,16 @@
     pub reply_sink: ReplySink<R>,
     /// Makes the attempt the only one of its request, if the payload can't be sent twice.
     pub exclusive_claim: ExclusiveClaim,
+    /// Receives the news that the reply has begun and seems to have stalled.
+    pub stall_report: StallReport,
 }
 
 impl<R> AttemptContext<R> {
+    /// Returns the deadline as an instant that a task can sleep until, or `None` without one.
+    pub fn end_instant(&self) -> Option<Instant> {
+        self.deadline.is_finite().then(|| self.clock.instant_at(self.deadline))
+    }
+
     /// Checks whether the first byte may be sent now. If not, the attempt ends with the returned outcome.
     ///
     /// The client may have disconnected, the backend may have started to drain and the time for a repeat may have
@@ -154,6 +161,24 @@
     }
 }
 
+/// Tells the decision module that the reply of an attempt has begun and seems to have stalled. The attempt goes on, and
+/// its request may be repeated.
+#[derive(Clone, Default)]
+pub struct StallReport(pub(super) Option<Rc<dyn Fn()>>);
+
+impl StallReport {
+    /// Sends the report.
+    pub fn send(&self) {
+        self.0.iter().for_each(|send| send());
+    }
+}
+
+impl std::fmt::Debug for StallReport {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("StallReport")
+    }
+}
+
 /// Receives a reply whose body is still arriving and makes it the answer of the request.
 ///
 /// No other attempt is made or waited for, and the engine sets no time limit afterwards. The attempt goes on
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -277,6 +277,13 @@
         /// Number of the attempt.
         attempt: usize,
     },
+    /// The answer to an attempt has begun and seems to have stalled. The attempt goes on.
+    AttemptStalled {
+        /// The request.
+        id: RequestId,
+        /// Number of the attempt.
+        attempt: usize,
+    },
     /// An attempt ended.
     Outcome(AttemptResult),
     /// The client disconnected, and its request needs no answer.
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -130,6 +130,23 @@
     assert_eq!(sends(&without_times(harness.advance_to(0.5))), [(1, 2)]);
 }
 
+#[test]
+fn call_whose_answer_has_stalled_is_repeated_although_its_backend_answers_others() {
+    let mut harness = Harness::new(safe_settings(), &[entry(1)]);
+    harness.request(1);
+    harness.now = 0.1;
+    harness.request(2);
+    harness.now = 0.2;
+    harness.end_attempt(2, 0, 1, Outcome::Served, 0.1);
+    harness.handle(Event::List(ListUpdate::Changes(&[entry(2)])));
+    harness.handle(Event::AttemptStalled { id: RequestId(1), attempt: 0 });
+    assert_eq!(sends(&without_times(harness.advance_to(0.5))), [(1, 2)]);
+    // Stalls of calls that have ended and of unknown attempts change nothing.
+    harness.end_attempt(1, 1, 2, Outcome::Served, 0.1);
+    assert_eq!(harness.handle(Event::AttemptStalled { id: RequestId(1), attempt: 0 }), []);
+    assert_eq!(harness.handle(Event::AttemptStalled { id: RequestId(9), attempt: 3 }), []);
+}
+
 #[test]
 fn attempts_are_limited_and_concurrent_ones_can_be_disabled() {
     let mut settings = safe_settings();
