What slow clients hold up is counted, and stays under the limit on memory

What operators saw: with hundreds of clients that wrote slowly, stopped within long bodies or read answers slowly, a process passed its memory limit and was killed.

--- a/crates/dewpier/tests/streams.rs
+++ b/crates/dewpier/tests/streams.rs
@@ -263,20 +263,22 @@
 fn stalled_long_bodies_do_not_block_short_requests() {
     let bulk = BulkServer::start();
     let proxy = start_proxy(&bulk);
-    // Two times the capacity.
+    // More than the capacity, at once: a client that has stalled is sent away after some seconds.
     let mut stalled = Vec::new();
-    let mut rejected = 0;
-    for _ in 0..200 {
+    for _ in 0..250 {
         let mut stream = proxy.connect();
         let text = format!("{}Content-Length: {MB}\r\n\r\n", head("order", "size=5"));
         stream.get_mut().write_all(text.as_bytes()).unwrap();
-        // A rejection arrives at once; the other requests get no answer yet.
-        stream.get_mut().set_read_timeout(Some(Duration::from_millis(20))).unwrap();
-        rejected += usize::from(read_message(&mut stream).is_some_and(|answer| answer.status() == 503));
         stalled.push(stream);
     }
-    assert!(rejected > 0, "no request was rejected");
     assert_eq!(proxy.exchange(&request_text("save", 9000)).status(), 200);
+    // A rejection arrives at once; the other requests get no such answer.
+    let mut rejected = 0;
+    for stream in &mut stalled {
+        stream.get_mut().set_read_timeout(Some(Duration::from_millis(20))).unwrap();
+        rejected += usize::from(read_message(stream).is_some_and(|answer| answer.status() == 503));
+    }
+    assert!(rejected > 0, "no request was rejected");
 }
 
 /// An upstream whose attempts wait for another attempt and then request the exclusive claim.
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -4,7 +4,7 @@
 use crate::body::{ClientBody, ResponseBody};
 use crate::clients::{self, ClientConnection, ClientConnections, ConnectionGuard};
 use crate::config::WireSettings;
-use crate::limits::{Budget, MAX_HEAD_BYTES, ResourceLimits};
+use crate::limits::{Budget, MAX_HEAD_BYTES, ResourceLimits, ResponseMemory};
 use crate::payload::PayloadBody;
 use crate::request::{self, BodyBudgets, Dialect, ParsedRequest, RequestError};
 use crate::socket::ClientSocket;
@@ -90,9 +90,9 @@
 }
 
 /// Builds the reply from a buffered backend response.
-fn backend_reply(response: BackendResponse) -> Reply {
+fn backend_reply(response: BackendResponse, memory: &ResponseMemory) -> Reply {
     let body = match response.body {
-        ResponseBody::Buffered(body) => body,
+        ResponseBody::Buffered(body) => memory.hold(body),
         // This is not reached, as error responses are never streamed.
         ResponseBody::Streamed(_) => return plain_reply(StatusCode::BAD_GATEWAY, "failed\n"),
     };
@@ -143,6 +143,7 @@
             body_budgets: BodyBudgets {
                 buffered: Budget::new(limits.buffered_body_bytes),
                 streamed: Budget::new(limits.streamed_body_bytes),
+                responses: ResponseMemory::new(limits.unread_response_bytes),
             },
             limits,
             other_processes: Cell::new(0),
@@ -440,6 +441,7 @@
         }
         let answer = match answer {
             Ok(Answer::Served(BackendResponse { status, headers, body: ResponseBody::Streamed(stream) })) => {
+                let stream = stream.counted_in(self.body_budgets.responses.clone());
                 let mut reply = Response::new(ClientBody::streamed(stream, accepted_request, client.clone()));
                 *reply.status_mut() = status;
                 *reply.headers_mut() = headers;
@@ -456,14 +458,16 @@
             // A 503 means that a retry is harmless, so that a 503 of a backend isn't forwarded if the request
             // may have run.
             Ok(Answer::Failed(Some(served))) if served.status == StatusCode::SERVICE_UNAVAILABLE => {
-                let mut reply = backend_reply(served);
+                let mut reply = backend_reply(served, &self.body_budgets.responses);
                 *reply.status_mut() = StatusCode::BAD_GATEWAY;
                 *reply.headers_mut() = Default::default();
                 reply
             }
-            Ok(Answer::Served(served)) | Ok(Answer::Failed(Some(served))) => backend_reply(served),
+            Ok(Answer::Served(served)) | Ok(Answer::Failed(Some(served))) => {
+                backend_reply(served, &self.body_budgets.responses)
+            }
             Ok(Answer::Rejected(wait, Some(served))) => {
-                let mut reply = backend_reply(served);
+                let mut reply = backend_reply(served, &self.body_budgets.responses);
                 if !reply.headers().contains_key(RETRY_AFTER) {
                     set_retry_after(&mut reply, wait, &self.dialect);
                 }
--- a/crates/http/src/socket.rs
+++ b/crates/http/src/socket.rs
@@ -4,10 +4,9 @@
 //! even behind unread bytes. On shutdown it drains the input, so that the last response arrives.
 
 use crate::clients::ClientConnection;
-use crate::limits::MAX_BUFFERED_BODY_BYTES;
 use bytes::{Buf, BytesMut};
 use std::cell::RefCell;
-use std::io;
+use std::io::{self, IoSlice};
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll, ready};
@@ -19,9 +18,8 @@
 /// Largest number of bytes that are read ahead and kept for the next request. Any more are discarded and the
 /// connection ends with the current response, because the next request is incomplete.
 pub const MAX_READ_AHEAD_BYTES: usize = 16 << 10;
-/// Largest number of bytes of a streamed request body that are read ahead while its backend takes no more, as many as
-/// its share of the memory for bodies.
-const MAX_UPLOAD_READ_AHEAD_BYTES: usize = MAX_BUFFERED_BODY_BYTES;
+/// Largest number of bytes of a streamed request body that are read ahead while its backend takes no more.
+pub const MAX_UPLOAD_READ_AHEAD_BYTES: usize = 32 << 10;
 /// How long input is drained after the write side was shut down.
 const LINGER_TIMEOUT: Duration = Duration::from_millis(300);
 /// Largest number of bytes that are drained. Closing a socket with unread input would make the kernel discard
@@ -97,7 +95,8 @@
         // The answer to a request is due by its last byte, and a client that has gone needs none: both are seen only
         // if the body is read although its backend takes no more.
         while self.client.is_uploading() && self.read_ahead.len() < MAX_UPLOAD_READ_AHEAD_BYTES {
-            let mut buffer = ReadBuf::new(&mut bytes);
+            let free = MAX_UPLOAD_READ_AHEAD_BYTES - self.read_ahead.len();
+            let mut buffer = ReadBuf::new(&mut bytes[..free.min(READ_CHUNK_BYTES)]);
             let Poll::Ready(read) = Pin::new(&mut self.stream).poll_read(cx, &mut buffer) else {
                 if self.client.input().is_certainly_incomplete(self.read_ahead.len()) {
                     self.client.input().record_waiting(Instant::now());
@@ -118,6 +117,9 @@
             let size = self.read_ahead.len().min(buffer.remaining());
             buffer.put_slice(&self.read_ahead[..size]);
             self.read_ahead.advance(size);
+            if self.read_ahead.is_empty() {
+                self.read_ahead = BytesMut::new();
+            }
             return Poll::Ready(Ok(()));
         }
         if self.read_ahead_full {
@@ -173,8 +175,21 @@
 
 impl AsyncWrite for ClientSocket {
     fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, data: &[u8]) -> Poll<io::Result<usize>> {
+        self.poll_write_vectored(cx, &[IoSlice::new(data)])
+    }
+
+    // The HTTP library would copy each response into a buffer that the connection keeps.
+    fn is_write_vectored(&self) -> bool {
+        true
+    }
+
+    fn poll_write_vectored(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        parts: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
         let mut state = self.0.borrow_mut();
-        let written = Pin::new(&mut state.stream).poll_write(cx, data);
+        let written = Pin::new(&mut state.stream).poll_write_vectored(cx, parts);
         if matches!(written, Poll::Ready(Ok(n)) if n > 0) {
             state.client.record_write();
         }
