The ID of a request stays taken while an attempt may run, in both processes of an upgrade

What callers saw: an id ran twice when it came again after its client had left, or at the other process of an upgrade.

Cause: the id was released with the request (close_request), although its attempt went on or its backend had it whole; and the two processes of an upgrade knew nothing of each other's ids.

Change: src/engine/request_ids.rs owns the ids. Requests that are safe to repeat release theirs with the answer. While another process serves the address, ids are claimed by creating files beside the handover socket (crates/handover, shared_ids.rs): the old process claims those that are taken before it hands its socket over, and claims hold if a process is killed. Weighed: asking the other process, which may be suspended or dead.

Evidence: id_that_comes_again_after_its_client_has_left_reaches_no_backend_twice (12 cases) and id_that_comes_again_at_the_other_process_reaches_no_backend_twice (4 cases) pass; ids of requests that did not run may come again.

--- a/crates/dewpier/src/takeover.rs
+++ b/crates/dewpier/src/takeover.rs
@@ -3,7 +3,9 @@
 
 use dewpier_handover::io::{self as handover, HandoverReply};
 use dewpier_handover::sender::Action;
+use dewpier_handover::shared_ids::{CLAIM_LIFETIME, SharedRequestIds};
 use dewpier_http::server::{self, Server};
+use std::cell::Cell;
 use std::io;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -27,6 +29,54 @@
     Some(handover::socket_path(Path::new(&folder), address))
 }
 
+/// Shares the IDs of requests with the other processes that serve the address, for as long as there are any and their
+/// requests may still run. Without a usable folder each process knows its own only.
+#[derive(Clone)]
+pub struct RequestIdSharing {
+    folder: Option<PathBuf>,
+    server: Rc<Server>,
+    /// Increased with each change, so that an older one does not end what a newer one has begun.
+    changes: Rc<Cell<u64>>,
+}
+
+impl RequestIdSharing {
+    /// Creates the sharing of a process whose handover socket is at `handover_path`.
+    pub fn new(handover_path: Option<&Path>, server: Rc<Server>) -> Self {
+        let folder = handover_path.map(|path| path.with_extension("ids"));
+        Self { folder, server, changes: Rc::default() }
+    }
+
+    /// Begins to share: another process has started.
+    pub fn begin(&self) {
+        self.changes.set(self.changes.get() + 1);
+        let Some(folder) = self.folder.clone() else { return };
+        match SharedRequestIds::open(folder) {
+            Ok(mut claims) => self.server.share_request_ids(Some(Box::new(move |id| {
+                claims.claim(id).unwrap_or_else(|error| {
+                    tracing::warn!(%error, "claiming the ID of a request from the other process failed");
+                    true
+                })
+            }))),
+            Err(error) => tracing::warn!(%error, "request IDs are not shared with the other process"),
+        }
+    }
+
+    /// Ends sharing once no request of a process that has exited can run any more.
+    pub fn end_later(&self) {
+        let change = self.changes.get() + 1;
+        self.changes.set(change);
+        let sharing = self.clone();
+        tokio::task::spawn_local(async move {
+            tokio::time::sleep(CLAIM_LIFETIME).await;
+            if sharing.changes.get() == change && !sharing.server.is_sharing() {
+                sharing.server.share_request_ids(None);
+                let claims = sharing.folder.map(SharedRequestIds::open);
+                claims.into_iter().flatten().for_each(SharedRequestIds::remove_all);
+            }
+        });
+    }
+}
+
 /// The older process that serves the same address.
 pub enum Predecessor {
     /// No older process was found.
@@ -115,7 +165,12 @@
 
 /// Hands the listening socket over to newer processes. If that is impossible, logs it once; newer processes then bind
 /// sockets of their own.
-pub async fn serve_handovers(handover_path: Option<&Path>, listener: Weak<TcpListener>, server: Rc<Server>) {
+pub async fn serve_handovers(
+    handover_path: Option<&Path>,
+    listener: Weak<TcpListener>,
+    server: Rc<Server>,
+    sharing: RequestIdSharing,
+) {
     let Some(path) = handover_path else { return };
     let successor_exited = Rc::new(Notify::new());
     loop {
@@ -130,7 +185,7 @@
             () = handover::serve_handovers(
                 handover_socket,
                 listener.clone(),
-                action_handler(server.clone(), successor_exited.clone()),
+                action_handler(server.clone(), sharing.clone(), successor_exited.clone()),
             ) => {}
             () = successor_exited.notified() => {}
         }
@@ -138,9 +193,19 @@
 }
 
 /// Performs the actions of a handover that concern this process.
-fn action_handler(server: Rc<Server>, successor_exited: Rc<Notify>) -> impl Fn(Action) + 'static {
+fn action_handler(
+    server: Rc<Server>,
+    sharing: RequestIdSharing,
+    successor_exited: Rc<Notify>,
+) -> impl Fn(Action) + 'static {
     move |action| match action {
-        Action::ShareLimits(on) => server.update_limit_sharing(on),
+        Action::ShareLimits(on) => {
+            server.update_limit_sharing(on);
+            match on {
+                true => sharing.begin(),
+                false => sharing.end_later(),
+            }
+        }
         Action::StopAccepting => {
             tracing::info!("a newer process accepts the connections to the address now");
             server.hand_over();
--- a/crates/dewpier/tests/client_gone.rs
+++ b/crates/dewpier/tests/client_gone.rs
@@ -158,3 +158,70 @@
         drop(kept_client);
     }
 }
+
+/// How a client comes again with the ID of its request.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Return {
+    /// While its first attempt waits for the backend.
+    AfterDisconnect,
+    /// After its first attempt was answered, which it did not read.
+    AfterAnswer,
+    /// After its first attempt was answered with an error.
+    AfterError,
+}
+
+#[test]
+fn id_that_comes_again_after_its_client_has_left_reaches_no_backend_twice() {
+    for cancels in [true, false] {
+        for class in ["save", "order"] {
+            for returns in [Return::AfterDisconnect, Return::AfterAnswer, Return::AfterError] {
+                let (ended, _end) = channel();
+                let backend = ScriptedServer::new(move |_, _| match returns {
+                    Return::AfterDisconnect => ScriptedReply::NeverRespond(ended.clone()),
+                    Return::AfterAnswer => ScriptedReply::Respond(format_response("200 OK", "done")),
+                    Return::AfterError => {
+                        ScriptedReply::Respond(format_response("500 Internal Server Error", "failed"))
+                    }
+                });
+                let mut settings = settings();
+                settings["caps"]["cancel"] = json!(cancels);
+                settings["caps"]["max-attempts"] = json!(1);
+                let proxy = Proxy::start(&settings, &known_list(&[&backend]), idle_discovery().address);
+                let request = request_text(class, 9000);
+                let mut client = proxy.connect();
+                client.get_mut().write_all(request.as_bytes()).unwrap();
+                wait_for("attempt", || backend.request_count() == 1);
+                if returns != Return::AfterDisconnect {
+                    read_message(&mut client).expect("an answer");
+                }
+                drop(client);
+                for pause_ms in [0, 50, 500] {
+                    std::thread::sleep(Duration::from_millis(pause_ms));
+                    let status = proxy.exchange(&request).status();
+                    assert!(
+                        status >= 400 && status != 503,
+                        "{status}: {class} {returns:?}, cancels: {cancels}"
+                    );
+                }
+                assert_eq!(backend.request_count(), 1, "{class} {returns:?}, cancels: {cancels}");
+            }
+        }
+    }
+}
+
+#[test]
+fn id_of_a_request_that_has_not_run_may_come_again() {
+    let rejection = "HTTP/1.1 503 Full\r\nX-Turned-Away: 1\r\nContent-Length: 0\r\n\r\n";
+    for class in ["look", "save", "order"] {
+        let backend = ScriptedServer::new(move |before, _| match before {
+            0 => ScriptedReply::Respond(rejection.to_string()),
+            _ => ScriptedReply::Respond(format_response("200 OK", "done")),
+        });
+        let mut settings = settings();
+        settings["caps"]["max-attempts"] = json!(1);
+        let proxy = Proxy::start(&settings, &known_list(&[&backend]), idle_discovery().address);
+        let request = request_text(class, 9000);
+        assert_eq!(proxy.exchange(&request).status(), 503, "{class}");
+        assert_eq!(proxy.exchange(&request).status(), 200, "{class}");
+    }
+}
--- a/crates/dewpier/tests/upgrade.rs
+++ b/crates/dewpier/tests/upgrade.rs
@@ -337,3 +337,40 @@
     stop_in_order(old);
     assert_eq!(remaining.exchange("GET /-/ready HTTP/1.1\r\nHost: a\r\n\r\n").status(), 503);
 }
+
+#[test]
+fn id_that_comes_again_at_the_other_process_reaches_no_backend_twice() {
+    for class in ["save", "order"] {
+        for old_dies in [false, true] {
+            let (ended, _end) = std::sync::mpsc::channel();
+            let backend = ScriptedServer::new(move |_, _| ScriptedReply::NeverRespond(ended.clone()));
+            let (config, folder, lists) = (operator_config(&[&backend]), folder("ids"), idle_discovery());
+            let start = |address: &str| {
+                Proxy::start_at(address, &config, lists.address, &folder).expect("the proxy should start")
+            };
+            let (old, address) = start_first(start);
+            let (before, during) = (request_text(class, 9000), request_text(class, 9000));
+            let mut clients = [old.connect(), old.connect()];
+            clients[0].get_mut().write_all(before.as_bytes()).unwrap();
+            wait_for("attempt", || backend.request_count() == 1);
+            let new = start(&address.to_string());
+            wait_for("positive check of the new process", || is_accepting(&new));
+            wait_for("negative check of the old process", || !is_accepting(&old));
+            // The old process still has this connection.
+            clients[1].get_mut().write_all(during.as_bytes()).unwrap();
+            wait_for("attempt during the upgrade", || backend.request_count() == 2);
+            drop(clients);
+            if old_dies {
+                old.signal("-KILL");
+            }
+            for request in [&before, &during] {
+                assert_eq!(new.exchange(request).status(), 400, "{class}, old dies: {old_dies}");
+            }
+            assert_eq!(backend.request_count(), 2, "{class}, old dies: {old_dies}");
+            // A request that is new to both is sent.
+            let mut client = new.connect();
+            client.get_mut().write_all(request_text(class, 9000).as_bytes()).unwrap();
+            wait_for("attempt of the new process", || backend.request_count() == 3);
+        }
+    }
+}
--- a/crates/handover/src/lib.rs
+++ b/crates/handover/src/lib.rs
@@ -8,3 +8,4 @@
 pub mod io;
 pub mod message;
 pub mod sender;
+pub mod shared_ids;
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -13,7 +13,7 @@
 use dewpier_operate::lifecycle::Lifecycle;
 use dewpier_operate::metrics::{BackendCounts, Metrics, RequestOutcome};
 use gannetproxy::engine::{Answer, Engine};
-use gannetproxy::{RequestId, Settings, Time};
+use gannetproxy::{Effect, RequestId, Settings, Time};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HeaderValue, RETRY_AFTER, TRANSFER_ENCODING};
@@ -44,6 +44,9 @@
 
 type Reply = Response<ClientBody>;
 
+/// Claims the ID of a request among all processes that serve the address. Returns false if it is taken.
+pub type IdClaims = Box<dyn FnMut(u64) -> bool>;
+
 /// Answers client requests.
 pub struct Server {
     engine: Rc<Engine<HttpUpstream>>,
@@ -65,6 +68,8 @@
     other_processes: Cell<usize>,
     /// Notified when accepting may start or stop.
     accepting_changed: Notify,
+    /// Claims the IDs of requests while another process serves the address too.
+    id_claims: RefCell<Option<IdClaims>>,
 }
 
 /// Reports a disconnected client to the engine if dropped before the answer.
@@ -148,6 +153,7 @@
             limits,
             other_processes: Cell::new(0),
             accepting_changed: Notify::new(),
+            id_claims: RefCell::default(),
         })
     }
 
@@ -227,6 +233,32 @@
         self.engine.upstream().connections.set_capacity(limits.backend_connections);
     }
 
+    /// Shares the IDs of requests with the other processes that serve the address, those that are taken now included;
+    /// `None` ends that.
+    pub fn share_request_ids(&self, claims: Option<IdClaims>) {
+        let mut claims = claims;
+        if let Some(claim) = &mut claims {
+            self.engine.taken_request_ids().into_iter().for_each(|id| {
+                claim(id);
+            });
+        }
+        self.id_claims.replace(claims);
+    }
+
+    /// Returns whether other processes share the resource limits.
+    pub fn is_sharing(&self) -> bool {
+        self.other_processes.get() > 0
+    }
+
+    /// Claims the ID of a request that can't simply be repeated among all processes that serve the address.
+    fn claim_shared_id(&self, class: usize, client_request_id: Option<u64>) -> bool {
+        let is_safe = self.settings.classes[class].effect == Effect::Safe;
+        match (&mut *self.id_claims.borrow_mut(), client_request_id) {
+            (Some(claim), Some(id)) if !is_safe => claim(id),
+            _ => true,
+        }
+    }
+
     /// Stops accepting, because another process takes over the address.
     pub fn hand_over(&self) {
         self.lifecycle.borrow_mut().hand_over(self.now());
@@ -427,9 +459,10 @@
             accepted_request.end(RequestOutcome::Rejected);
             return plain_reply(StatusCode::SERVICE_UNAVAILABLE, "too many connections\n");
         }
-        let Some((id, answer)) =
-            self.engine.submit_request(parsed.client_request_id, parsed.request, parsed.payload)
-        else {
+        let submitted = self
+            .claim_shared_id(parsed.request.class, parsed.client_request_id)
+            .then(|| self.engine.submit_request(parsed.client_request_id, parsed.request, parsed.payload));
+        let Some((id, answer)) = submitted.flatten() else {
             return plain_reply(StatusCode::BAD_REQUEST, "X-Txn is in use\n");
         };
         let disconnect_guard = DisconnectGuard(&self.engine, id);
--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -9,6 +9,7 @@
 mod clock;
 mod expiry;
 mod list;
+mod request_ids;
 mod streamed;
 mod upstream;
 
@@ -20,9 +21,10 @@
 };
 
 use crate::{
-    Action, AttemptResult, BackendEntry, BackendId, Balancer, Event, ListUpdate, Outcome, Report, Request,
-    RequestId, Settings, Status, Time,
+    Action, AttemptResult, BackendEntry, BackendId, Balancer, Effect, Event, ListUpdate, Outcome, Report,
+    Request, RequestId, Settings, Status, Time,
 };
+use request_ids::RequestIds;
 use std::cell::{Cell, RefCell};
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap, HashSet, VecDeque};
@@ -124,6 +126,8 @@
     streaming: bool,
     /// The attempt is the only one of its request, so that its outcome is the answer.
     exclusive: bool,
+    /// The client ID that the attempt holds, if the request can't simply be repeated.
+    held_request_id: Option<u64>,
 }
 
 /// Attempt counts of a backend since they were last taken.
@@ -156,8 +160,8 @@
     /// Requests without a final answer, by a number that is never reused. A client may reuse its own ID while
     /// an attempt of an answered request with that ID is still running.
     open_requests: HashMap<RequestId, OpenRequest<U>>,
-    /// The client IDs of the open requests.
-    client_request_ids: HashSet<u64>,
+    /// The client IDs of requests that are open or may still run.
+    request_ids: RequestIds,
     last_request_number: u64,
     running_attempts: HashMap<(RequestId, usize), RunningAttempt>,
     /// Requests that the decision module doesn't know yet, with their arrival times. They count as open.
@@ -214,6 +218,8 @@
     drain_grace: Time,
     max_open_requests: usize,
     max_attempts: usize,
+    /// Whether requests of each class are safe to repeat.
+    is_safe_class: Vec<bool>,
     /// When all requests end, if the process is stopping.
     requests_end_at: Cell<Option<Time>>,
 }
@@ -246,6 +252,7 @@
             drain_grace: limits.drain_grace.as_secs_f64(),
             max_open_requests: limits.max_open_requests,
             max_attempts: settings.max_attempts,
+            is_safe_class: settings.classes.iter().map(|class| class.effect == Effect::Safe).collect(),
             requests_end_at: Cell::new(None),
             state: RefCell::new(State {
                 balancer: Balancer::new(clock.now(), seed, settings),
@@ -253,7 +260,7 @@
                 timers: BinaryHeap::new(),
                 timers_set: 0,
                 open_requests: HashMap::new(),
-                client_request_ids: HashSet::new(),
+                request_ids: RequestIds::default(),
                 last_request_number: 0,
                 running_attempts: HashMap::new(),
                 queued_requests: VecDeque::new(),
@@ -331,13 +338,19 @@
         self.has_list.get()
     }
 
+    /// Returns the client IDs of requests that are open or may still run.
+    pub fn taken_request_ids(&self) -> Vec<u64> {
+        self.state.borrow().request_ids.taken()
+    }
+
     /// Returns whether any request has no final answer yet.
     pub fn has_open_requests(&self) -> bool {
         !self.state.borrow().open_requests.is_empty()
     }
 
     /// Submits a request whose client waits for `request.budget` seconds; the receiver gets the answer within
-    /// that time. Returns `None` if another open request has the same `client_request_id`.
+    /// that time. Returns `None` if another request that is open or may still run has the same
+    /// `client_request_id`.
     pub fn submit_request(
         &self,
         client_request_id: Option<u64>,
@@ -346,19 +359,19 @@
     ) -> Option<(RequestId, oneshot::Receiver<Answer<U::Reply>>)> {
         let (answer, receiver) = oneshot::channel();
         let mut state = self.state.borrow_mut();
-        if client_request_id.is_some_and(|id| state.client_request_ids.contains(&id)) {
+        let now = self.clock.now();
+        if client_request_id.is_some_and(|id| !state.request_ids.claim(id, now)) {
             return None;
         }
         state.last_request_number += 1;
         request.id = RequestId(state.last_request_number);
-        let now = self.clock.now();
         let time_left = self.time_until_end(now);
         let is_ended = time_left.is_some_and(|time_left| time_left <= 0.0);
         if is_ended || state.open_requests.len() >= self.max_open_requests {
             let _ = answer.send(Answer::Rejected(None, None)); // the receiver still exists
+            client_request_id.into_iter().for_each(|id| state.request_ids.release(id, false, now));
             return Some((request.id, receiver));
         }
-        state.client_request_ids.extend(client_request_id);
         // The request may have waited unread for as long as timers are delayed.
         request.budget -= self.timer_delay.get();
         if let Some(time_left) = time_left {
@@ -397,15 +410,15 @@
     /// Withdraws a request whose client has disconnected. Does nothing if the request has been answered.
     pub fn client_disconnected(&self, id: RequestId) {
         let mut state = self.state.borrow_mut();
-        let Some(open) = close_request(&mut state, id) else { return };
+        let Some(open) = close_request(&mut state, id, self.clock.now()) else { return };
         if open.has_affinity {
             self.notify_observer(id, 0, AttemptEvent::Ended(Outcome::Cancelled));
-            return abort_attempt(&mut state, id, 0);
+            return abort_attempt(&mut state, id, 0, self.clock.now());
         }
         if let Some(attempt) = open.exclusive {
             self.notify_observer(id, attempt, AttemptEvent::Ended(Outcome::Cancelled));
             let backend = state.running_attempts.get(&(id, attempt)).map(|running| running.backend);
-            abort_attempt(&mut state, id, attempt);
+            abort_attempt(&mut state, id, attempt, self.clock.now());
             if let Some(backend) = backend {
                 let ended = AttemptResult {
                     id,
@@ -444,7 +457,7 @@
         answer: impl FnOnce(Option<U::Reply>) -> Answer<U::Reply>,
     ) {
         let attempts = state.open_requests.get(&id).map_or(0, |open| open.attempts);
-        send_answer(state, id, answer);
+        send_answer(state, id, self.clock.now(), answer);
         self.cancel_unsent_attempts(state, id, attempts);
     }
 
@@ -516,6 +529,7 @@
             return; // has ended before
         };
         running.task.abort();
+        running.release_request_id(&mut state.request_ids, Some(result.outcome), self.clock.now());
         self.notify_observer(id, attempt, AttemptEvent::Ended(result.outcome));
         if let Some(KnownBackend { counts, .. }) = state.known_backends.get_mut(&running.backend) {
             counts.in_flight = counts.in_flight.saturating_sub(1);
@@ -530,16 +544,16 @@
         }
         let mut attempts_made = 0;
         if let Some(reply) = result.reply
-            && let Some(open) = close_request(state, id)
+            && let Some(open) = close_request(state, id, self.clock.now())
         {
             let _ = open.answer.send(Answer::Served(reply)); // fails if the client has disconnected
             attempts_made = open.attempts;
         }
         if running.has_affinity {
-            return affinity::end_request(state, id, result.outcome, result.error_response);
+            return affinity::end_request(state, id, self.clock.now(), result.outcome, result.error_response);
         }
         if running.exclusive {
-            affinity::end_request(state, id, result.outcome, result.error_response);
+            affinity::end_request(state, id, self.clock.now(), result.outcome, result.error_response);
         } else if let (Some(error_response), Some(open)) =
             (result.error_response, state.open_requests.get_mut(&id))
         {
@@ -676,6 +690,9 @@
             stall_report,
         };
         let running_attempt = self.upstream.attempt(endpoint, open.payload.clone(), attempt_context);
+        let is_safe = self.is_safe_class.get(open.class).is_some_and(|is_safe| *is_safe);
+        let held_request_id = open.client_request_id.filter(|_| !is_safe);
+        held_request_id.into_iter().for_each(|id| state.request_ids.hold(id));
         let task = tokio::task::spawn_local(async move {
             let result = running_attempt.await;
             engine.handle_attempt_result(id, attempt, result);
@@ -695,6 +712,7 @@
                 has_affinity,
                 streaming: false,
                 exclusive: false,
+                held_request_id,
             },
         );
         self.set_timer(state, deadline, TimerKind::Attempt(id, attempt));
@@ -800,6 +818,7 @@
                 Rc::strong_count(&known.endpoint) == 1 && known.gate.can_be_removed(&self.clock)
             };
             if sweeps.is_multiple_of(SWEEPS_PER_CLEANUP) {
+                state.request_ids.release_expired(self.clock.now());
                 state.known_backends.retain(|_, known| !can_be_removed(known));
             }
             state.known_backends.values().for_each(|known| self.upstream.close_expired(&known.endpoint));
@@ -807,20 +826,31 @@
     }
 }
 
+impl RunningAttempt {
+    /// Releases the client ID of an attempt that ended with `outcome`, if that is known.
+    fn release_request_id(&self, request_ids: &mut RequestIds, outcome: Option<Outcome>, now: Time) {
+        let has_not_run =
+            matches!(outcome, Some(Outcome::Rejected | Outcome::NoConnection | Outcome::NeverSent));
+        let may_have_run = self.written.get() && !has_not_run;
+        self.held_request_id.into_iter().for_each(|id| request_ids.release(id, may_have_run, now));
+    }
+}
+
 /// Removes a request that is answered or whose client has disconnected.
-fn close_request<U: Upstream>(state: &mut State<U>, id: RequestId) -> Option<OpenRequest<U>> {
+fn close_request<U: Upstream>(state: &mut State<U>, id: RequestId, now: Time) -> Option<OpenRequest<U>> {
     let open = state.open_requests.remove(&id)?;
     open.is_request_open.set(false);
     if let Some(client_request_id) = open.client_request_id {
-        state.client_request_ids.remove(&client_request_id);
+        state.request_ids.release(client_request_id, false, now);
     }
     Some(open)
 }
 
 /// Ends an attempt without reporting it to the decision module.
-fn abort_attempt<U: Upstream>(state: &mut State<U>, id: RequestId, attempt: usize) {
+fn abort_attempt<U: Upstream>(state: &mut State<U>, id: RequestId, attempt: usize, now: Time) {
     if let Some(running) = state.running_attempts.remove(&(id, attempt)) {
         running.task.abort();
+        running.release_request_id(&mut state.request_ids, None, now);
         if let Some(known) = state.known_backends.get_mut(&running.backend) {
             known.counts.in_flight = known.counts.in_flight.saturating_sub(1);
         }
@@ -837,9 +867,10 @@
 fn send_answer<U: Upstream>(
     state: &mut State<U>,
     id: RequestId,
+    now: Time,
     answer: impl FnOnce(Option<U::Reply>) -> Answer<U::Reply>,
 ) {
-    if let Some(mut open) = close_request(state, id) {
+    if let Some(mut open) = close_request(state, id, now) {
         let error_response = open.error_response.take();
         let _ = open.answer.send(answer(error_response)); // fails if the client has disconnected
     }
