Nothing is sent to the next process at the address of a backend

What callers saw: a new process that came up at the address of one that had gone was taken for the old one, and got its work.

Cause: an attempt that was connecting when the list changed went on to the address that it had begun with, although the backend had moved or another one that may get nothing new had its address; during the grace of a drain nothing stopped it.

Change: right before the first byte an attempt compares the address of its connection with that of its backend, over HTTP and for MySQL sessions that are tied to no server; the engine ends sends to a backend that drains or is gone as soon as another one is listed at its address.

Evidence: request_is_not_sent_to_the_next_process_at_the_address_of_its_backend, three changes of the list by three classes on real processes with connections that come up late. Before all nine cases were red, now all pass. Two backends that are both in service at one address are left alone.

--- a/crates/http/src/backend.rs
+++ b/crates/http/src/backend.rs
@@ -386,6 +386,7 @@
     let attempt_end = attempt.end_instant().unwrap_or_else(Instant::now);
     let mut new_connection_failed = false;
     let (connection, permit, reply) = loop {
+        let address = endpoint.address.get();
         let Some(ReadyConnection { mut connection, permit, idle_time }) =
             endpoint.take_or_connect(loss_cost).await
         else {
@@ -394,6 +395,10 @@
         if let Err(outcome) = attempt.check_send() {
             return UpstreamResult::without_reply(outcome);
         }
+        // The list may have given the backend another address while the connection was opened.
+        if address != endpoint.address.get() {
+            return UpstreamResult::without_reply(Outcome::NeverSent);
+        }
         if upload.is_some() && !attempt.exclusive_claim.claim() {
             return UpstreamResult::without_reply(Outcome::NeverSent);
         }
--- a/crates/mysql/src/io/upstream.rs
+++ b/crates/mysql/src/io/upstream.rs
@@ -246,7 +246,8 @@
 ) -> UpstreamResult<ServerResponse> {
     let generation = endpoint.generation.get();
     let pinning_before = payload.pinning.at_server(role);
-    let mut connection = loop {
+    let (mut connection, address) = loop {
+        let address = endpoint.address.get();
         let reused = match payload.is_pinned {
             true => payload.slot.take().filter(|connection| connection.stream.is_quiet()),
             false => endpoint.take_idle(&payload.requirements, settings.reuse_timeout),
@@ -256,13 +257,7 @@
             (Some(connection), _) => Some(connection),
             (None, true) => None,
             (None, false) => {
-                settings
-                    .connect(
-                        endpoint.address.get(),
-                        payload.requirements.profile,
-                        payload.requirements.session_id,
-                    )
-                    .await
+                settings.connect(address, payload.requirements.profile, payload.requirements.session_id).await
             }
         };
         let Some(mut connection) = connection else {
@@ -272,7 +267,7 @@
             return upstream_result(outcome, None);
         }
         match connection.meet_requirements(&payload.requirements).await {
-            Some(Ok(())) => break connection,
+            Some(Ok(())) => break (connection, address),
             Some(Err(error)) => {
                 let pinning = pinning_before.after_response(
                     payload.response_kind,
@@ -292,6 +287,10 @@
     if let Err(outcome) = attempt.check_send() {
         return upstream_result(outcome, None);
     }
+    // The list may have given the server another address while the connection was opened.
+    if !payload.is_pinned && address != endpoint.address.get() {
+        return upstream_result(Outcome::NeverSent, None);
+    }
     attempt.written.set(true);
     if connection.send_command(&payload.command, &payload.requirements).await.is_err() {
         return upstream_result(Outcome::Reset, None);
--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -28,6 +28,7 @@
 use std::cell::{Cell, RefCell};
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap, HashSet, VecDeque};
+use std::net::SocketAddr;
 use std::rc::{Rc, Weak};
 use std::time::Duration;
 use tokio::sync::{Notify, oneshot};
@@ -147,6 +148,7 @@
 
 /// A known backend: its gate, its connections and its counts.
 struct KnownBackend<U: Upstream> {
+    address: SocketAddr,
     gate: Rc<SendGate>,
     endpoint: Rc<U::Endpoint>,
     counts: BackendCounts,
@@ -488,21 +490,44 @@
             }
             let drain_deadline = (entry.status != Status::InService).then_some(send_deadline);
             let known = state.known_backends.entry(entry.id).or_insert_with(|| KnownBackend {
+                address: *address,
                 gate: Rc::new(SendGate::with_lease(self.lease.clone())),
                 endpoint: Rc::new(self.upstream.create_endpoint(*address)),
                 counts: BackendCounts::default(),
             });
+            known.address = *address;
             self.upstream.set_address(&known.endpoint, *address);
             if drain_deadline.is_some() {
                 self.upstream.release_connections(&known.endpoint);
             }
             known.gate.set_send_deadline(drain_deadline);
         }
+        self.close_replaced_backends(&state.known_backends, listed);
         self.has_list.set(self.has_list.get() || listed.iter().any(|l| l.entry.status == Status::InService));
         state.event_queue.push_back(QueuedEvent::List(update));
         self.decide(state);
     }
 
+    /// Ends sends to backends that drain or are gone and whose address another backend has: what is sent there reaches
+    /// the other one.
+    fn close_replaced_backends(
+        &self,
+        known_backends: &HashMap<BackendId, KnownBackend<U>>,
+        listed: &[ListedBackend],
+    ) {
+        let present = listed.iter().filter(|listed| listed.entry.status != Status::Gone);
+        let owners: HashMap<SocketAddr, BackendId> =
+            present.map(|listed| (listed.address, listed.entry.id)).collect();
+        let now = self.clock.now();
+        for (id, known) in known_backends {
+            let is_replaced = owners.get(&known.address).is_some_and(|owner| owner != id);
+            if is_replaced && known.gate.is_closing() {
+                self.upstream.release_connections(&known.endpoint);
+                known.gate.close(now);
+            }
+        }
+    }
+
     /// Handles a backend that is gone from the list.
     fn mark_backend_gone(&self, known: &KnownBackend<U>, send_deadline: Time) {
         self.upstream.release_connections(&known.endpoint);
