Claims of request IDs between processes are bounded in number and cleaned up by time

Need: by reading, one client that sends at full speed during an upgrade would have filled the shared folder, and every 256th claim read the whole folder on the event loop.

Ended claims are removed every 20 s.

The fault was not run before.

--- a/crates/handover/src/shared_ids.rs
+++ b/crates/handover/src/shared_ids.rs
@@ -5,35 +5,39 @@
 use std::fs::{self, File};
 use std::io;
 use std::path::PathBuf;
-use std::time::{Duration, SystemTime};
+use std::time::{Duration, Instant, SystemTime};
 
 /// Time after which a claim ends: no attempt of a request lasts as long.
 pub const CLAIM_LIFETIME: Duration = Duration::from_secs(60);
-/// Number of claims after which those that have ended are removed.
-const CLAIMS_PER_CLEANUP: usize = 256;
+/// Largest number of claims of one process between two cleanups. Beyond it a process knows its own IDs only, so that
+/// clients can't fill the folder.
+const MAX_CLAIMS: usize = 1 << 14;
+/// Time between two removals of the claims that have ended.
+const CLEANUP_INTERVAL: Duration = Duration::from_secs(20);
 
 /// The claims of all processes that serve one address.
 #[derive(Debug)]
 pub struct SharedRequestIds {
     folder: PathBuf,
-    claims_until_cleanup: usize,
+    claims_left: usize,
+    cleaned_at: Instant,
 }
 
 impl SharedRequestIds {
     /// Opens the claims in `folder`, which is created if needed.
     pub fn open(folder: PathBuf) -> io::Result<Self> {
         fs::create_dir_all(&folder)?;
-        let mut claims = Self { folder, claims_until_cleanup: CLAIMS_PER_CLEANUP };
+        let mut claims = Self { folder, claims_left: MAX_CLAIMS, cleaned_at: Instant::now() };
         claims.remove_ended()?;
         Ok(claims)
     }
 
-    /// Claims an ID. Returns false if it is claimed already.
+    /// Claims an ID. Returns false if it is claimed already. Fails if the folder can't be used or too many are claimed.
     pub fn claim(&mut self, id: u64) -> io::Result<bool> {
-        match self.claims_until_cleanup.checked_sub(1) {
-            Some(left) => self.claims_until_cleanup = left,
-            None => self.remove_ended()?,
+        if self.cleaned_at.elapsed() >= CLEANUP_INTERVAL {
+            self.remove_ended()?;
         }
+        self.claims_left = self.claims_left.checked_sub(1).ok_or(io::ErrorKind::QuotaExceeded)?;
         match File::create_new(self.folder.join(format!("{id:016x}"))) {
             Ok(_) => Ok(true),
             Err(error) if error.kind() == io::ErrorKind::AlreadyExists => Ok(false),
@@ -43,7 +47,8 @@
 
     /// Removes the claims that have ended.
     fn remove_ended(&mut self) -> io::Result<()> {
-        self.claims_until_cleanup = CLAIMS_PER_CLEANUP;
+        self.cleaned_at = Instant::now();
+        let mut live = 0;
         let ended_before = SystemTime::now().checked_sub(CLAIM_LIFETIME);
         for entry in fs::read_dir(&self.folder)? {
             let entry = entry?;
@@ -51,8 +56,11 @@
             let Ok(modified) = entry.metadata().and_then(|metadata| metadata.modified()) else { continue };
             if ended_before.is_some_and(|ended_before| modified < ended_before) {
                 let _ = fs::remove_file(entry.path());
+            } else {
+                live += 1;
             }
         }
+        self.claims_left = MAX_CLAIMS.saturating_sub(live);
         Ok(())
     }
 
@@ -75,7 +83,7 @@
         let path = folder("two");
         let mut old = SharedRequestIds::open(path.clone()).unwrap();
         let mut new = SharedRequestIds::open(path).unwrap();
-        for id in 0..2 * CLAIMS_PER_CLEANUP as u64 {
+        for id in 0..500 {
             assert!(old.claim(id).unwrap());
             assert!(!new.claim(id).unwrap() && !old.claim(id).unwrap());
         }
@@ -83,6 +91,14 @@
         assert!(new.claim(1).is_err(), "the folder is gone");
     }
 
+    #[test]
+    fn number_of_claims_is_bounded() {
+        let mut claims = SharedRequestIds::open(folder("bound")).unwrap();
+        assert!((0..MAX_CLAIMS as u64).all(|id| claims.claim(id).is_ok()));
+        assert!(claims.claim(u64::MAX).is_err());
+        claims.remove_all();
+    }
+
     #[test]
     fn claims_end_by_their_age() {
         let path = folder("age");
