--- a/crates/dewpier/tests/bad_clients.rs
+++ b/crates/dewpier/tests/bad_clients.rs
@@ -7,7 +7,6 @@
 use serde_json::json;
 use std::io::{BufReader, Write};
 use std::net::TcpStream;
-use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
 /// Reads an error answer or the end of the connection, and returns the status of the answer.
