--- /dev/null
+++ b/review/stand-ins-2/src/bin/planners-silent.rs
@@ -0,0 +1,119 @@
+//! All planners die, a node is taken out of the inventory, and the planners start again. Is the drain kept?
+
+use stand_ins_2::http::{format_answer, serve, Client};
+use stand_ins_2::{begin, free_addresses, lock, replace, sleep, BROKEN, HELD};
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering::SeqCst};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+/// `drain_ms` of planners and forwarders, and the slack of time limits on sockets.
+const BOUND: f64 = 0.5 + 0.05;
+
+fn main() {
+    let case = begin();
+    let read_at: Arc<Mutex<Option<f64>>> = Arc::default();
+    let late: Arc<Mutex<Vec<f64>>> = Arc::default();
+    let mut nodes: Vec<(String, SocketAddr)> = Vec::new();
+    for i in 0..3 {
+        let name = format!("pricing-{i}");
+        let (own_name, read_at, late) = (name.clone(), read_at.clone(), late.clone());
+        let address = serve(move |message| {
+            let now = case.now();
+            case.note(&format!("{own_name} runs {}", message.first_line));
+            if let Some(at) = lock(&read_at).filter(|at| own_name == "pricing-2" && now > at + BOUND) {
+                lock(&late).push(now - at);
+                case.note(&format!("LATE: {own_name} got a request {:.3} s after a planner had read that it is gone", now - at));
+            }
+            sleep(0.01);
+            format_answer("200 OK", "", "done")
+        });
+        nodes.push((name, address));
+    }
+    let inventory = |count: usize| {
+        let rows: String = nodes[..count].iter().map(|(name, address)| format!("{name},{address}\n")).collect();
+        format!("id,address\n{rows}")
+    };
+    let file = case.write("nodes.csv", &inventory(3));
+    let [p0, p1, p2, c0, c1, c2, listen] = free_addresses();
+    let (planners, cluster) = ([p0, p1, p2], [c0, c1, c2]);
+    let quoted = |addresses: &[SocketAddr]| {
+        addresses.iter().map(|address| format!("\"{address}\"")).collect::<Vec<_>>().join(", ")
+    };
+    for number in 0..3 {
+        case.write(
+            &format!("planner-{number}.toml"),
+            &format!(
+                "listen = \"{}\"\nnumber = {number}\nplaintext = true\n[cluster]\nplanners = [{}]\n[inventory]\nfile = \"nodes.csv\"\n",
+                planners[number],
+                quoted(&cluster)
+            ),
+        );
+    }
+    let config = case.write(
+        "forwarder.toml",
+        &format!(
+            "listen = \"{listen}\"\n[planners]\nname = \"forwarder-1\"\naddresses = [{}]\nplaintext = true\n",
+            quoted(&planners)
+        ),
+    );
+    let temporary = case.temporary.clone();
+    let start = |number: usize| {
+        let path = temporary.join(format!("planner-{number}.toml"));
+        let command = format!("exec target/release/dewpier planner --config {}", path.display());
+        case.start(&format!("planner-{number}"), &command, &[])
+    };
+    let ids: Vec<u32> = (0..3).map(&start).collect();
+    case.start("forwarder", &format!("exec target/release/dewpier forwarder --config {}", config.display()), &[]);
+    let patience = Duration::from_secs(16);
+    let ready = "GET /-/ready HTTP/1.1\r\nHost: app.svc\r\n\r\n";
+    case.wait_long_for("the forwarder to be ready", 25.0, || {
+        Client::new(listen).exchange(ready, patience).is_ok_and(|answer| answer.status() == 200)
+    });
+    let sent = Arc::new(AtomicUsize::new(1));
+    for _ in 0..4 {
+        let sent = sent.clone();
+        std::thread::spawn(move || {
+            let mut client = Client::new(listen);
+            loop {
+                let id = sent.fetch_add(1, SeqCst);
+                let request =
+                    format!("POST /orders?{id} HTTP/1.1\r\nHost: app.svc\r\nContent-Length: 4\r\n\r\nbody");
+                case.note(&format!("client sends {id}"));
+                match client.exchange(&request, patience) {
+                    Ok(answer) => case.note(&format!("client gets {id}: {}", answer.status())),
+                    Err(error) => case.note(&format!("client gets {id}: no answer: {error}")),
+                }
+                sleep(0.02);
+            }
+        });
+    }
+    sleep(3.0);
+    let reads = |text: &str| (0..3).any(|number| case.log(&format!("planner-{number}")).contains(text));
+    let taken_out = "2 backends from";
+    if case.trouble {
+        ids.iter().for_each(|id| case.kill(*id));
+        sleep(1.0);
+        replace(&file, &inventory(2));
+        case.note("pricing-2 is taken out of the inventory");
+        sleep(7.0);
+        (0..2).for_each(|number| {
+            start(number);
+        });
+    } else {
+        replace(&file, &inventory(2));
+        case.note("pricing-2 is taken out of the inventory");
+    }
+    case.wait_for("a planner to read the inventory", || reads(taken_out));
+    *lock(&read_at) = Some(case.now());
+    case.note("a planner has read that pricing-2 is gone");
+    sleep(12.0);
+    for number in 0..3 {
+        case.log(&format!("planner-{number}")).lines().for_each(|line| case.note(&format!("planner-{number}: {line}")));
+    }
+    case.log("forwarder").lines().for_each(|line| case.note(&format!("forwarder: {line}")));
+    let late = lock(&late);
+    let last = late.last().copied().unwrap_or(0.0);
+    case.note(&format!("{} requests came to pricing-2 after the bound, the last {last:.3} s after the read", late.len()));
+    case.end(if late.is_empty() { HELD } else { BROKEN });
+}
--- a/review/stand-ins-2/src/mysql.rs
+++ b/review/stand-ins-2/src/mysql.rs
@@ -272,3 +272,46 @@
     }
     out
 }
+
+pub const COM_STMT_PREPARE: u8 = 0x16;
+pub const COM_STMT_EXECUTE: u8 = 0x17;
+pub const COM_STMT_CLOSE: u8 = 0x19;
+
+/// The answer to a PREPARE of a statement without parameters and without a result.
+pub fn prepare_ok(statement: u32) -> Vec<u8> {
+    let mut out = vec![0];
+    out.extend_from_slice(&statement.to_le_bytes());
+    out.extend_from_slice(&[0; 7]);
+    out
+}
+
+impl Session {
+    /// Prepares a statement without parameters. Returns its number.
+    pub fn prepare(&mut self, text: &str) -> io::Result<u32> {
+        self.packets.sequence = 0;
+        self.packets.write(&[&[COM_STMT_PREPARE], text.as_bytes()].concat())?;
+        let answer = self.packets.read()?;
+        match answer.get(..5) {
+            Some([0, a, b, c, d]) => Ok(u32::from_le_bytes([*a, *b, *c, *d])),
+            _ => Err(io::Error::other(format!("{:?}", parse_error(&answer)))),
+        }
+    }
+
+    /// Executes a statement without parameters and without a result.
+    pub fn execute(&mut self, statement: u32) -> io::Result<Answer> {
+        self.packets.sequence = 0;
+        let mut command = vec![COM_STMT_EXECUTE];
+        command.extend_from_slice(&statement.to_le_bytes());
+        command.extend_from_slice(&[0, 1, 0, 0, 0]);
+        self.packets.write(&command)?;
+        let first = self.packets.read()?;
+        match first[0] {
+            0 => {
+                let (width, affected) = get_length(&first[1..]);
+                let (_, insert_id) = get_length(&first[1 + width..]);
+                Ok(Answer::Ok { affected, insert_id })
+            }
+            _ => Ok(parse_error(&first)),
+        }
+    }
+}
