--- a/review/stand-ins-2/src/bin/crowded-discovery.rs
+++ b/review/stand-ins-2/src/bin/crowded-discovery.rs
@@ -150,8 +150,10 @@
     let discovery_address = serve(move |message| answering.answer(message));
 
     let [listen] = free_addresses();
-    let entries: Vec<String> = backends.iter().map(|(name, address)| entry(name, *address, "SERVING")).collect();
-    let seed = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).expect("a time").as_nanos() as u64;
+    let entries: Vec<String> =
+        backends.iter().map(|(name, address)| entry(name, *address, "SERVING")).collect();
+    let seed =
+        std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).expect("a time").as_nanos() as u64;
     let config = format!(
         r#"{{"name":"n0","listen":"{listen}","discovery":"{discovery_address}","seed":"{seed:016x}",
         "limits":{{"cores":1.0,"memory_mb":192,"sockets":1024}},"known":{},"settings":{}}}"#,
@@ -206,6 +208,9 @@
     sleep(21.0);
     let late = lock(&late);
     let last = late.last().copied().unwrap_or(0.0);
-    case.note(&format!("{} requests came to s-0 after its grace, the last {last:.3} s after the change", late.len()));
+    case.note(&format!(
+        "{} requests came to s-0 after its grace, the last {last:.3} s after the change",
+        late.len()
+    ));
     case.end(if late.is_empty() { HELD } else { BROKEN });
 }
--- a/review/stand-ins-2/src/bin/lost-insert-id.rs
+++ b/review/stand-ins-2/src/bin/lost-insert-id.rs
@@ -18,7 +18,12 @@
     lines: Vec<(u64, String)>,
 }
 
-fn serve_connection(case: &'static Case, server: Arc<Mutex<Server>>, stream: TcpStream, number: u32) -> std::io::Result<()> {
+fn serve_connection(
+    case: &'static Case,
+    server: Arc<Mutex<Server>>,
+    stream: TcpStream,
+    number: u32,
+) -> std::io::Result<()> {
     lock(&server).connections.insert(number, stream.try_clone()?);
     let mut packets = Packets::new(stream);
     mysql::accept_login(&mut packets, number)?;
@@ -50,7 +55,9 @@
             server.last_order += 1;
             insert_id = server.last_order;
             mysql::ok(1, insert_id, in_transaction)
-        } else if let Some(line) = text.strip_prefix("INSERT INTO lines (order_id, item) VALUES (LAST_INSERT_ID(), ") {
+        } else if let Some(line) =
+            text.strip_prefix("INSERT INTO lines (order_id, item) VALUES (LAST_INSERT_ID(), ")
+        {
             uncommitted.push((insert_id, line.to_string()));
             if !in_transaction {
                 lock(&server).lines.append(&mut uncommitted);
@@ -112,7 +119,9 @@
             case.note(&format!("client {number}: {text}: {answer:?}"));
             answer
         };
-        let Answer::Ok { insert_id: order, .. } = query(&format!("INSERT INTO orders (dealer) VALUES ({number})")) else {
+        let Answer::Ok { insert_id: order, .. } =
+            query(&format!("INSERT INTO orders (dealer) VALUES ({number})"))
+        else {
             panic!("the order should be stored");
         };
         if case.trouble {
@@ -135,7 +144,9 @@
         let line = format!("'line of {order}')");
         let stored = query(&format!("INSERT INTO lines (order_id, item) VALUES (LAST_INSERT_ID(), {line}"));
         if matches!(stored, Answer::Ok { .. }) && matches!(query("COMMIT"), Answer::Ok { .. }) {
-            for (named, _) in lock(&server).lines.iter().filter(|(named, text)| *text == line && *named != order) {
+            for (named, _) in
+                lock(&server).lines.iter().filter(|(named, text)| *text == line && *named != order)
+            {
                 wrong += 1;
                 case.note(&format!("WRONG: the line of order {order} is stored for order {named}"));
             }
--- a/review/stand-ins-2/src/bin/moved-node.rs
+++ b/review/stand-ins-2/src/bin/moved-node.rs
@@ -68,7 +68,11 @@
         case.start(&format!("planner-{number}"), &command, &[])
     };
     let ids: Vec<u32> = (0..3).map(&start).collect();
-    case.start("forwarder", &format!("exec target/release/dewpier forwarder --config {}", config.display()), &[]);
+    case.start(
+        "forwarder",
+        &format!("exec target/release/dewpier forwarder --config {}", config.display()),
+        &[],
+    );
     let patience = Duration::from_secs(16);
     let ready = "GET /-/ready HTTP/1.1\r\nHost: app.svc\r\n\r\n";
     case.wait_long_for("the forwarder to be ready", 25.0, || {
@@ -94,7 +98,9 @@
     }
     sleep(3.0);
     let reads = || {
-        (0..3).map(|number| case.log(&format!("planner-{number}")).matches("3 backends from").count()).sum::<usize>()
+        (0..3)
+            .map(|number| case.log(&format!("planner-{number}")).matches("3 backends from").count())
+            .sum::<usize>()
     };
     if case.trouble {
         case.kill(ids[0]);
@@ -109,7 +115,9 @@
     case.note("a planner has read that pricing-2 has moved");
     sleep(12.0);
     for number in 0..3 {
-        case.log(&format!("planner-{number}")).lines().for_each(|line| case.note(&format!("planner-{number}: {line}")));
+        case.log(&format!("planner-{number}"))
+            .lines()
+            .for_each(|line| case.note(&format!("planner-{number}: {line}")));
     }
     case.log("forwarder").lines().for_each(|line| case.note(&format!("forwarder: {line}")));
     let late = lock(&late);
--- a/review/stand-ins-2/src/bin/moved-primary.rs
+++ b/review/stand-ins-2/src/bin/moved-primary.rs
@@ -12,7 +12,13 @@
 /// What a server got: the time and the text of each statement.
 type Statements = Arc<Mutex<Vec<(f64, String)>>>;
 
-fn serve_connection(case: &'static Case, name: &str, stream: TcpStream, number: u32, got: &Statements) -> std::io::Result<()> {
+fn serve_connection(
+    case: &'static Case,
+    name: &str,
+    stream: TcpStream,
+    number: u32,
+    got: &Statements,
+) -> std::io::Result<()> {
     let mut packets = Packets::new(stream);
     mysql::accept_login(&mut packets, number)?;
     loop {
@@ -103,8 +109,15 @@
     let old_got = lock(&old_got);
     let late = old_got.iter().filter(|(at, _)| case.trouble && *at > taken_at + GRACE);
     let late: Vec<f64> = late.map(|(at, _)| at - taken_at).collect();
-    case.note(&format!("the old server got {} statements, the new one {}", old_got.len(), lock(&new_got).len()));
+    case.note(&format!(
+        "the old server got {} statements, the new one {}",
+        old_got.len(),
+        lock(&new_got).len()
+    ));
     let last = late.last().copied().unwrap_or(0.0);
-    case.note(&format!("{} statements came to the old server after the grace, the last {last:.3} s after the list", late.len()));
+    case.note(&format!(
+        "{} statements came to the old server after the grace, the last {last:.3} s after the list",
+        late.len()
+    ));
     case.end(if late.is_empty() { HELD } else { BROKEN });
 }
--- a/review/stand-ins-2/src/bin/planners-silent.rs
+++ b/review/stand-ins-2/src/bin/planners-silent.rs
@@ -23,7 +23,10 @@
             case.note(&format!("{own_name} runs {}", message.first_line));
             if let Some(at) = lock(&read_at).filter(|at| own_name == "pricing-2" && now > at + BOUND) {
                 lock(&late).push(now - at);
-                case.note(&format!("LATE: {own_name} got a request {:.3} s after a planner had read that it is gone", now - at));
+                case.note(&format!(
+                    "LATE: {own_name} got a request {:.3} s after a planner had read that it is gone",
+                    now - at
+                ));
             }
             sleep(0.01);
             format_answer("200 OK", "", "done")
@@ -31,7 +34,8 @@
         nodes.push((name, address));
     }
     let inventory = |count: usize| {
-        let rows: String = nodes[..count].iter().map(|(name, address)| format!("{name},{address}\n")).collect();
+        let rows: String =
+            nodes[..count].iter().map(|(name, address)| format!("{name},{address}\n")).collect();
         format!("id,address\n{rows}")
     };
     let file = case.write("nodes.csv", &inventory(3));
@@ -64,7 +68,11 @@
         case.start(&format!("planner-{number}"), &command, &[])
     };
     let ids: Vec<u32> = (0..3).map(&start).collect();
-    case.start("forwarder", &format!("exec target/release/dewpier forwarder --config {}", config.display()), &[]);
+    case.start(
+        "forwarder",
+        &format!("exec target/release/dewpier forwarder --config {}", config.display()),
+        &[],
+    );
     let patience = Duration::from_secs(16);
     let ready = "GET /-/ready HTTP/1.1\r\nHost: app.svc\r\n\r\n";
     case.wait_long_for("the forwarder to be ready", 25.0, || {
@@ -109,11 +117,16 @@
     case.note("a planner has read that pricing-2 is gone");
     sleep(12.0);
     for number in 0..3 {
-        case.log(&format!("planner-{number}")).lines().for_each(|line| case.note(&format!("planner-{number}: {line}")));
+        case.log(&format!("planner-{number}"))
+            .lines()
+            .for_each(|line| case.note(&format!("planner-{number}: {line}")));
     }
     case.log("forwarder").lines().for_each(|line| case.note(&format!("forwarder: {line}")));
     let late = lock(&late);
     let last = late.last().copied().unwrap_or(0.0);
-    case.note(&format!("{} requests came to pricing-2 after the bound, the last {last:.3} s after the read", late.len()));
+    case.note(&format!(
+        "{} requests came to pricing-2 after the bound, the last {last:.3} s after the read",
+        late.len()
+    ));
     case.end(if late.is_empty() { HELD } else { BROKEN });
 }
--- a/review/stand-ins-2/src/bin/prepared-database.rs
+++ b/review/stand-ins-2/src/bin/prepared-database.rs
@@ -18,7 +18,12 @@
 }
 
 /// A statement belongs to the database that was selected when it was prepared.
-fn serve_connection(case: &'static Case, server: &Mutex<Server>, mut packets: Packets, number: u32) -> std::io::Result<()> {
+fn serve_connection(
+    case: &'static Case,
+    server: &Mutex<Server>,
+    mut packets: Packets,
+    number: u32,
+) -> std::io::Result<()> {
     mysql::accept_login(&mut packets, number)?;
     let mut database = String::new();
     let mut prepared: HashMap<u32, (String, String)> = HashMap::new();
@@ -124,10 +129,13 @@
         sleep(0.3);
         let executed = session.execute(statement).expect("an answer");
         said("EXECUTE", &executed);
-        let astray = lock(&server).rows.iter().filter(|(database, row)| *row == text && database != "steppe").count();
+        let astray =
+            lock(&server).rows.iter().filter(|(database, row)| *row == text && database != "steppe").count();
         if astray > 0 {
             wrong += astray;
-            case.note(&format!("WRONG: what was prepared in steppe is stored in another database; told {executed:?}"));
+            case.note(&format!(
+                "WRONG: what was prepared in steppe is stored in another database; told {executed:?}"
+            ));
         }
     }
     case.note(&format!("{wrong} rows in the wrong database in {SESSIONS} sessions"));
--- a/review/stand-ins-2/src/bin/slow-reader.rs
+++ b/review/stand-ins-2/src/bin/slow-reader.rs
@@ -38,7 +38,9 @@
                     for given in (0..ANSWER_BYTES).step_by(piece.len()) {
                         if let Err(error) = writer.write_all(&piece) {
                             broken.fetch_add(1, SeqCst);
-                            case.note(&format!("backend: its connection ended at {given} bytes of {id}: {error}"));
+                            case.note(&format!(
+                                "backend: its connection ended at {given} bytes of {id}: {error}"
+                            ));
                             return Ok(());
                         }
                     }
@@ -51,7 +53,12 @@
     address
 }
 
-fn read_answer(case: &'static Case, listen: SocketAddr, number: usize, seen: &Mutex<Seen>) -> std::io::Result<()> {
+fn read_answer(
+    case: &'static Case,
+    listen: SocketAddr,
+    number: usize,
+    seen: &Mutex<Seen>,
+) -> std::io::Result<()> {
     let stream = TcpStream::connect(listen)?;
     let mut writer = stream.try_clone()?;
     let mut reader = BufReader::with_capacity(PIECE_BYTES, stream);
@@ -160,6 +167,9 @@
         seen.longest_pause < 2.0 && seen.ended.as_ref().is_some_and(|ended| ended != "whole")
     };
     let cut = clients.iter().filter(|seen| is_cut(seen)).count();
-    case.note(&format!("{cut} of {CLIENTS} answers were cut off; {} connections of backends were", broken.load(SeqCst)));
+    case.note(&format!(
+        "{cut} of {CLIENTS} answers were cut off; {} connections of backends were",
+        broken.load(SeqCst)
+    ));
     case.end(if cut == 0 { HELD } else { BROKEN });
 }
--- a/review/stand-ins-2/src/lib.rs
+++ b/review/stand-ins-2/src/lib.rs
@@ -115,7 +115,8 @@
     /// Kills a process that this case started, and waits for its end.
     pub fn kill(&self, id: u32) {
         let mut children = lock(&self.children);
-        let (name, child) = children.iter_mut().find(|(_, child)| child.id() == id).expect("a process of this case");
+        let (name, child) =
+            children.iter_mut().find(|(_, child)| child.id() == id).expect("a process of this case");
         let _ = child.kill();
         let _ = child.wait();
         let text = format!("killed {name}, process {id}");
@@ -179,7 +180,8 @@
 
 /// Free loopback addresses.
 pub fn free_addresses<const N: usize>() -> [SocketAddr; N] {
-    let listeners: [TcpListener; N] = std::array::from_fn(|_| TcpListener::bind("127.0.0.1:0").expect("a free port"));
+    let listeners: [TcpListener; N] =
+        std::array::from_fn(|_| TcpListener::bind("127.0.0.1:0").expect("a free port"));
     listeners.map(|listener| listener.local_addr().expect("its address"))
 }
 
--- a/review/stand-ins-2/src/mysql.rs
+++ b/review/stand-ins-2/src/mysql.rs
@@ -258,8 +258,7 @@
                 40..=59 => ((b & c) | (b & d) | (c & d), 0x8f1b_bcdc),
                 _ => (b ^ c ^ d, 0xca62_c1d6u32),
             };
-            let next =
-                a.rotate_left(5).wrapping_add(f).wrapping_add(e).wrapping_add(k).wrapping_add(*word);
+            let next = a.rotate_left(5).wrapping_add(f).wrapping_add(e).wrapping_add(k).wrapping_add(*word);
             (e, d, c, b, a) = (d, c, b.rotate_left(30), a, next);
         }
         for (total, value) in state.iter_mut().zip([a, b, c, d, e]) {
