Review, stand-ins: a machine that is too busy shows no break of a time limit

Need: a busy machine must not be taken for a fault of the program.

Change: the library of the stand-ins measures by how much its own sleeps are late, and a break is exit 2 over 0.3 s; no case uses it yet.

--- a/review/stand-ins-2/src/lib.rs
+++ b/review/stand-ins-2/src/lib.rs
@@ -8,6 +8,7 @@
 use std::net::{SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -18,6 +19,11 @@
 /// The case could not run.
 pub const NOT_RUN: i32 = 2;
 
+/// A machine on which a sleep ends later than this is too busy to judge a time limit, in seconds.
+const LONGEST_DELAY: f64 = 0.3;
+/// The longest delay of a sleep so far, in microseconds.
+static DELAY: AtomicU64 = AtomicU64::new(0);
+
 /// A case ends itself before 120 seconds.
 const LONGEST_RUN: Duration = Duration::from_secs(112);
 
@@ -63,6 +69,11 @@
         std::thread::sleep(LONGEST_RUN);
         panic!("the case took too long");
     });
+    std::thread::spawn(|| loop {
+        let (before, pause) = (Instant::now(), Duration::from_millis(10));
+        std::thread::sleep(pause);
+        DELAY.fetch_max(before.elapsed().saturating_sub(pause).as_micros() as u64, Ordering::Relaxed);
+    });
     case.note(&format!("trouble: {}", case.trouble));
     case
 }
@@ -73,6 +84,22 @@
         self.start.elapsed().as_secs_f64()
     }
 
+    /// Seconds from the start of the case to a moment.
+    pub fn at(&self, moment: Instant) -> f64 {
+        moment.saturating_duration_since(self.start).as_secs_f64()
+    }
+
+    /// Ends a case whose check has a time limit: a break on a machine that was too busy is none.
+    pub fn judge(&self, is_broken: bool) -> ! {
+        let delay = DELAY.load(Ordering::Relaxed) as f64 / 1e6;
+        self.note(&format!("the longest delay of a sleep of this program: {delay:.3} s"));
+        match is_broken {
+            false => self.end(HELD),
+            true if delay > LONGEST_DELAY => self.end(NOT_RUN),
+            true => self.end(BROKEN),
+        }
+    }
+
     /// Writes a line to the record.
     pub fn note(&self, text: &str) {
         let _ = writeln!(lock(&self.record), "{:9.3} {text}", self.now());
