Prepared statements stay in the state of their PREPARE on every connection

The text was prepared again in the session's present database, while a server keeps what was selected at the PREPARE. The same cause let statements move into another SQL mode, after a loss followed by SET and beyond 64 statements on a held connection, and left a connection that was reset for another session in the server's default character set.

A statement is prepared again in the database of its PREPARE; all of a session's are prepared before a command that may change other state, and none is closed or prepared again after it (error 1615 where one is missing). The character set of the login is selected again after a reset.

--- a/crates/mysql/src/error.rs
+++ b/crates/mysql/src/error.rs
@@ -31,6 +31,8 @@
 pub const ER_UNKNOWN_STMT_HANDLER: u16 = 1243;
 /// Too many prepared statements.
 pub const ER_MAX_PREPARED_STMT_COUNT_REACHED: u16 = 1461;
+/// A prepared statement has to be prepared again by its client; it has not run.
+pub const ER_NEED_REPREPARE: u16 = 1615;
 /// Too many transactions are open; the statement has not run.
 pub const ER_TOO_MANY_CONCURRENT_TRXS: u16 = 1637;
 /// Malformed packet.
--- a/crates/mysql/src/io/conn.rs
+++ b/crates/mysql/src/io/conn.rs
@@ -3,31 +3,18 @@
 use super::exchange_settings::ExchangeSettings;
 use super::wire::{PacketStream, ReceiveError};
 use crate::capability::DEPRECATE_EOF;
+use crate::connection_state::{ConnectionRequirements, ConnectionState, PreparationStep};
 use crate::error::ErrPacket;
 use crate::login::{ConnectionProfile, MAX_LOGIN_PACKET_BYTES, ServerLogin, ServerLoginStep};
-use crate::prepared::{self, RequiredStatement};
+use crate::prepared;
 use crate::reply::{MAX_HEAD_BYTES, ResponseEnd, ResponseKind, ResponseTracker};
-use crate::session::{COM_INIT_DB, COM_RESET_CONNECTION};
+use crate::session::{COM_INIT_DB, COM_QUERY, COM_RESET_CONNECTION};
 use bytes::BytesMut;
 use gannetproxy::engine::Permit;
-use std::collections::HashMap;
 use std::net::SocketAddr;
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
-/// What a command requires of its connection.
-#[derive(Clone, Debug)]
-pub struct ConnectionRequirements {
-    /// Capabilities and collation.
-    pub profile: ConnectionProfile,
-    /// Id of the session, unique within the process.
-    pub session_id: u64,
-    /// The database in which the command runs.
-    pub database: Option<String>,
-    /// The prepared statement that the command executes. It is prepared first if the connection does not have it.
-    pub required_statement: Option<RequiredStatement>,
-}
-
 impl ConnectionRequirements {
     /// Whether rows end with an OK packet instead of an EOF packet.
     pub(super) fn deprecate_eof(&self) -> bool {
@@ -40,17 +27,10 @@
     pub(super) stream: PacketStream,
     _permit: Permit,
     pub(super) profile: ConnectionProfile,
-    /// The selected database.
-    pub(super) database: Option<String>,
-    /// The session that used the connection last.
-    pub(super) session_id: u64,
-    /// Ids of that session's prepared statements at the server, by the session's ids.
-    pub(super) prepared_ids: HashMap<u32, u32>,
+    /// What the connection holds for the session that used it last.
+    pub(super) state: ConnectionState,
 }
 
-/// Statements that may be prepared on one connection; beyond it the one with the lowest id is closed.
-const MAX_PREPARED_PER_CONNECTION: usize = 64;
-
 impl ExchangeSettings {
     /// Opens a connection and logs in. None if that fails or takes too long.
     pub(super) async fn connect(
@@ -81,9 +61,7 @@
                 stream,
                 _permit: permit,
                 profile,
-                database: None,
-                session_id,
-                prepared_ids: HashMap::new(),
+                state: ConnectionState::new(session_id),
             })
         };
         timeout(self.connect_timeout, connecting).await.ok().flatten()
@@ -104,61 +82,81 @@
         }
     }
 
-    /// Makes the connection meet a command's requirements: removes the state of another session, selects the database and
-    /// prepares the statement. None if the connection is unusable; an error if the server does not have the database or
-    /// can't prepare the statement.
+    /// Makes the connection meet a command's requirements. None if the connection is unusable; an error if the server does
+    /// not have the database, or can't prepare the statement as it was.
     pub(super) async fn meet_requirements(
         &mut self,
         required: &ConnectionRequirements,
     ) -> Option<Result<(), ErrPacket>> {
-        if self.session_id != required.session_id {
-            match self.run_command(&[COM_RESET_CONNECTION]).await {
-                // The reset has also closed the prepared statements.
-                Ok(ResponseEnd::Complete { .. }) => {
-                    (self.session_id, self.prepared_ids) = (required.session_id, HashMap::new())
+        loop {
+            match self.state.next_step(required) {
+                PreparationStep::Ready => return Some(Ok(())),
+                PreparationStep::Impossible(error) => return Some(Err(error)),
+                PreparationStep::ResetConnection => {
+                    self.run_preparing_command(&[COM_RESET_CONNECTION]).await?;
+                    self.state.record_reset(required.session_id);
                 }
-                _ => return None,
-            }
-        }
-        match &required.database {
-            Some(name) if self.database.as_ref() != Some(name) => {
-                let command = [&[COM_INIT_DB], name.as_bytes()].concat();
-                match self.run_command(&command).await {
-                    Ok(ResponseEnd::Complete { .. }) => self.database = Some(name.clone()),
-                    Ok(ResponseEnd::Error(code)) => {
-                        let text = format!("dewpier: the server has no database '{name}' for this user");
-                        return Some(Err(ErrPacket::new(code, b"42000", text)));
+                PreparationStep::RestoreCharacterSet => {
+                    self.run_preparing_command(&character_set_command(self.profile.collation)).await?;
+                    self.state.record_character_set();
+                }
+                PreparationStep::CloseStatement(statement_id) => {
+                    if let Some(closed) = self.state.record_closed(statement_id) {
+                        self.close_statement(closed).await.ok()?;
                     }
-                    Err(_) => return None,
                 }
-            }
-            _ => {}
-        }
-        match &required.required_statement {
-            Some(statement) if !self.prepared_ids.contains_key(&statement.statement_id) => {
-                let command = [&[prepared::COM_STMT_PREPARE], &statement.sql[..]].concat();
-                match self.prepare(&command, required).await {
-                    Ok(Ok(server_statement_id)) => {
-                        self.record_prepared(statement.statement_id, server_statement_id).await.ok()?
+                PreparationStep::SelectDatabase { name, kept_statement } => {
+                    match (self.select_database(name).await?, kept_statement) {
+                        (Ok(()), _) => {}
+                        (Err(_), Some(statement_id)) => self.state.record_unpreparable(statement_id),
+                        (Err(error), None) => return Some(Err(error)),
+                    }
+                }
+                PreparationStep::PrepareStatement { statement, is_kept } => {
+                    match (self.prepare(&statement.sql, required).await.ok()?, is_kept) {
+                        (Ok(server_id), _) => {
+                            self.record_prepared(required, statement.statement_id, server_id).await.ok()?;
+                        }
+                        (Err(_), true) => self.state.record_unpreparable(statement.statement_id),
+                        (Err(error), false) => return Some(Err(error)),
                     }
-                    Ok(Err(error)) => return Some(Err(error)),
-                    Err(_) => return None,
                 }
             }
-            _ => {}
         }
-        Some(Ok(()))
+    }
+
+    /// Runs a command that a sound server does not reject. None if the connection is unusable.
+    async fn run_preparing_command(&mut self, command: &[u8]) -> Option<()> {
+        match self.run_command(command).await {
+            Ok(ResponseEnd::Complete { .. }) => Some(()),
+            _ => None,
+        }
+    }
+
+    /// Selects a database. None if the connection is unusable; an error if the server does not have the database.
+    async fn select_database(&mut self, name: &str) -> Option<Result<(), ErrPacket>> {
+        let command = [&[COM_INIT_DB], name.as_bytes()].concat();
+        match self.run_command(&command).await.ok()? {
+            ResponseEnd::Complete { .. } => {
+                self.state.record_database(name);
+                Some(Ok(()))
+            }
+            ResponseEnd::Error(code) => {
+                let text = format!("dewpier: the server has no database '{name}' for this user");
+                Some(Err(ErrPacket::new(code, b"42000", text)))
+            }
+        }
     }
 
     /// Prepares a statement. Returns its id at the server, or the server's error.
     async fn prepare(
         &mut self,
-        command: &[u8],
+        sql: &[u8],
         required: &ConnectionRequirements,
     ) -> Result<Result<u32, ErrPacket>, ReceiveError> {
         let broken = || ReceiveError::from(std::io::Error::from(std::io::ErrorKind::InvalidData));
         self.stream.set_sequence(0);
-        self.stream.send_packet(command).await?;
+        self.stream.send_packet(&[&[prepared::COM_STMT_PREPARE], sql].concat()).await?;
         let mut tracker = ResponseTracker::new(ResponseKind::PrepareOk, required.deprecate_eof());
         loop {
             let packet = self.stream.next_packet().await?;
@@ -179,20 +177,21 @@
     /// Records a prepared statement, and closes another if there are too many.
     pub(super) async fn record_prepared(
         &mut self,
+        required: &ConnectionRequirements,
         statement_id: u32,
         server_statement_id: u32,
     ) -> std::io::Result<()> {
-        self.prepared_ids.insert(statement_id, server_statement_id);
-        if self.prepared_ids.len() > MAX_PREPARED_PER_CONNECTION
-            && let Some(lowest) = self.prepared_ids.keys().filter(|id| **id != statement_id).min().copied()
-            && let Some(closed) = self.prepared_ids.remove(&lowest)
-        {
-            self.stream.set_sequence(0);
-            self.stream
-                .send_packet(&[&[prepared::COM_STMT_CLOSE][..], &closed.to_le_bytes()].concat())
-                .await?; // not answered
+        match self.state.record_prepared(required, statement_id, server_statement_id) {
+            Some(closed) => self.close_statement(closed).await,
+            None => Ok(()),
         }
-        Ok(())
+    }
+
+    /// Closes a statement at the server, which has no response.
+    async fn close_statement(&mut self, server_statement_id: u32) -> std::io::Result<()> {
+        self.stream.set_sequence(0);
+        let command = [&[prepared::COM_STMT_CLOSE][..], &server_statement_id.to_le_bytes()].concat();
+        self.stream.send_packet(&command).await
     }
 
     /// Sends a command, after the long data of its parameters.
@@ -202,19 +201,22 @@
         required: &ConnectionRequirements,
     ) -> std::io::Result<()> {
         let long_data = required
-            .required_statement
+            .statements
+            .executed
             .iter()
             .flat_map(|statement| &statement.long_data)
             .map(|command| &command[..]);
         for command in long_data.chain([command]) {
             self.stream.set_sequence(0);
-            let Some(statement) = &required.required_statement else {
+            let Some(statement) = &required.statements.executed else {
                 self.stream.send_packet(command).await?;
                 continue;
             };
             // The command has the session's id of the statement, which is replaced by the server's.
-            let server_statement_id =
-                self.prepared_ids.get(&statement.statement_id).ok_or(std::io::ErrorKind::InvalidInput)?;
+            let server_statement_id = self
+                .state
+                .server_statement_id(statement.statement_id)
+                .ok_or(std::io::ErrorKind::InvalidInput)?;
             let mut command = BytesMut::from(command);
             command
                 .get_mut(1..5)
@@ -225,3 +227,13 @@
         Ok(())
     }
 }
+
+/// The command that selects the character set that a login with this collation does. A server takes the id of a collation
+/// for either kind of variable.
+fn character_set_command(collation: u8) -> Vec<u8> {
+    let text = format!(
+        "SET @@session.character_set_client={collation},@@session.character_set_results={collation},\
+         @@session.collation_connection={collation}"
+    );
+    [&[COM_QUERY], text.as_bytes()].concat()
+}
--- a/crates/mysql/src/io/front.rs
+++ b/crates/mysql/src/io/front.rs
@@ -1,11 +1,11 @@
 //! The listener for MySQL clients: their logins, the commands of each session in order, and the graceful stop.
 
 use super::answer::{Remainder, ResponseChunk, ServerResponse};
-use super::conn::ConnectionRequirements;
 use super::pinned_slot::PinnedSlot;
 use super::upstream::{MySqlUpstream, Payload};
 use super::wire::{PacketStream, ReceiveError};
 use crate::auth::{NONCE_BYTES, PasswordHash};
+use crate::connection_state::ConnectionRequirements;
 use crate::error::{
     ER_CON_COUNT_ERROR, ER_NET_PACKET_TOO_LARGE, ER_NET_PACKETS_OUT_OF_ORDER, ER_NET_READ_ERROR, ErrPacket,
 };
@@ -395,7 +395,7 @@
                 profile: session.profile,
                 session_id: pending.session_id,
                 database: session.database.clone(),
-                required_statement: forwarded.required_statement.clone(),
+                statements: forwarded.statements.clone(),
             },
             prepares: forwarded.prepares.as_ref().map(|(statement_id, _)| *statement_id),
             response_kind: forwarded.response_kind,
--- a/crates/mysql/src/io/mod.rs
+++ b/crates/mysql/src/io/mod.rs
@@ -8,9 +8,9 @@
 mod upstream;
 mod wire;
 
+pub use crate::connection_state::ConnectionRequirements;
 pub use crate::pinning::Role;
 pub use answer::{Remainder, ResponseChunk, ServerResponse};
-pub use conn::ConnectionRequirements;
 pub use front::{Front, FrontSettings, StopLimits};
 pub use pinned_slot::PinnedSlot;
 pub use upstream::{Endpoint, MySqlUpstream, Payload};
--- a/crates/mysql/src/io/upstream.rs
+++ b/crates/mysql/src/io/upstream.rs
@@ -4,9 +4,10 @@
     CompletedResponse, ReadFailure, Remainder, ResponseChunk, STREAM_STALL_TIMEOUT, ServerResponse,
     error_response,
 };
-use super::conn::{ConnectionRequirements, ServerConnection};
+use super::conn::ServerConnection;
 use super::exchange_settings::ExchangeSettings;
 use super::pinned_slot::{PinnedConnection, PinnedSlot};
+use crate::connection_state::ConnectionRequirements;
 use crate::error::{self, ER_UNKNOWN_ERROR, ErrPacket, SQLSTATE_GENERAL_ERROR};
 use crate::login::{ConnectionProfile, Credentials};
 use crate::packet;
@@ -73,7 +74,7 @@
         }
     }
 
-    /// Takes the most recently used suitable connection. A connection with a database can't serve a session without one.
+    /// Takes the most recently used suitable connection.
     fn take_idle(
         &self,
         requirements: &ConnectionRequirements,
@@ -82,8 +83,7 @@
         loop {
             let mut idle = self.idle.borrow_mut();
             let is_suitable = |connection: &ServerConnection| {
-                connection.profile == requirements.profile
-                    && (requirements.database.is_some() || connection.database.is_none())
+                connection.profile == requirements.profile && connection.state.is_suitable(requirements)
             };
             let index = idle
                 .iter()
@@ -333,7 +333,7 @@
         && !may_have_run_in_part
         && chunk_sender.is_none();
     if let (Some(name), ResponseEnd::Complete { .. }) = (&payload.selects_database, end) {
-        connection.database = Some(name.clone());
+        connection.state.record_database(name);
     }
     if let (Some(statement_id), ResponseEnd::Complete { prepared: Some(prepared), .. }) =
         (payload.prepares, end)
@@ -344,7 +344,9 @@
             .get_mut(id_range)
             .into_iter()
             .for_each(|bytes| bytes.copy_from_slice(&statement_id.to_le_bytes()));
-        if connection.record_prepared(statement_id, prepared.statement_id).await.is_err() {
+        let recorded =
+            connection.record_prepared(&payload.requirements, statement_id, prepared.statement_id).await;
+        if recorded.is_err() {
             return upstream_result(Outcome::Reset, None);
         }
     }
--- a/crates/mysql/src/prepared.rs
+++ b/crates/mysql/src/prepared.rs
@@ -29,13 +29,30 @@
     pub statement_id: u32,
     /// The text of the statement.
     pub sql: Bytes,
+    /// The database that was selected when the client prepared it, which a server keeps for it.
+    pub database: Option<String>,
     /// COM_STMT_SEND_LONG_DATA commands to send first; they have no response.
     pub long_data: Vec<Bytes>,
 }
 
+/// What a command requires of the prepared statements of its connection.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct StatementRequirements {
+    /// The statement that the command executes. It is prepared first if the connection does not have it.
+    pub executed: Option<RequiredStatement>,
+    /// All statements of the session, if the command may change the state in which they would be prepared later. They are
+    /// prepared first if the connection does not have them.
+    pub kept: Vec<RequiredStatement>,
+    /// Ids of statements that the session has closed.
+    pub closed: Vec<u32>,
+    /// The connection has state of the session that is not known here, so that nothing can be prepared as it was before.
+    pub has_session_state: bool,
+}
+
 #[derive(Debug)]
 struct PreparedStatement {
     sql: Bytes,
+    database: Option<String>,
     kind: StatementKind,
     depends_on_previous: bool,
     parameter_count: u16,
@@ -44,10 +61,24 @@
     long_data: Vec<Bytes>,
 }
 
+impl PreparedStatement {
+    /// Returns what a connection needs to have of the statement, without long data.
+    fn to_required(&self, statement_id: u32) -> RequiredStatement {
+        RequiredStatement {
+            statement_id,
+            sql: self.sql.clone(),
+            database: self.database.clone(),
+            long_data: Vec::new(),
+        }
+    }
+}
+
 /// The prepared statements of a session.
 #[derive(Debug, Default)]
 pub struct PreparedStatements {
     by_id: HashMap<u32, PreparedStatement>,
+    /// Ids of statements that were removed and that the session's connection may still have.
+    removed_ids: Vec<u32>,
     last_id: u32,
     /// Total length of the stored long data commands.
     long_data_bytes: usize,
@@ -103,12 +134,13 @@
         Some(self.last_id)
     }
 
-    /// Adds a statement that a server has prepared.
-    pub fn insert(&mut self, statement_id: u32, sql: Bytes, parameter_count: u16) {
+    /// Adds a statement that a server has prepared while `database` was selected.
+    pub fn insert(&mut self, statement_id: u32, sql: Bytes, database: Option<String>, parameter_count: u16) {
         let (kind, depends_on_previous) =
             std::str::from_utf8(&sql).map_or((StatementKind::SessionState, false), classify);
         let prepared = PreparedStatement {
             sql,
+            database,
             kind,
             depends_on_previous,
             parameter_count,
@@ -161,7 +193,7 @@
         self.long_data_bytes -= long_data.iter().map(Bytes::len).sum::<usize>();
         Ok(ExecuteCommand {
             command: out.freeze(),
-            required_statement: RequiredStatement { statement_id, sql: prepared.sql.clone(), long_data },
+            required_statement: RequiredStatement { long_data, ..prepared.to_required(statement_id) },
             kind: prepared.kind.clone(),
             depends_on_previous: prepared.depends_on_previous,
         })
@@ -181,8 +213,21 @@
         parse_statement_id(command).into_iter().for_each(|statement_id| self.remove(statement_id));
     }
 
+    /// Returns all statements, without their long data, in the order of their ids.
+    pub fn all(&self) -> Vec<RequiredStatement> {
+        let mut all: Vec<_> = self.by_id.iter().map(|(id, prepared)| prepared.to_required(*id)).collect();
+        all.sort_by_key(|statement| statement.statement_id);
+        all
+    }
+
+    /// Returns the ids of the statements that were removed since the last call.
+    pub fn take_removed_ids(&mut self) -> Vec<u32> {
+        std::mem::take(&mut self.removed_ids)
+    }
+
     fn remove(&mut self, statement_id: u32) {
         if let Some(prepared) = self.by_id.remove(&statement_id) {
+            self.removed_ids.push(statement_id);
             self.long_data_bytes -= prepared.long_data.iter().map(Bytes::len).sum::<usize>();
         }
     }
@@ -216,7 +261,7 @@
     fn insert_one(sql: &'static str, parameter_count: u16) -> (PreparedStatements, u32) {
         let mut statements = PreparedStatements::default();
         let statement_id = statements.allocate_id().unwrap();
-        statements.insert(statement_id, sql.into(), parameter_count);
+        statements.insert(statement_id, sql.into(), None, parameter_count);
         (statements, statement_id)
     }
 
@@ -269,7 +314,7 @@
         let mut statements = PreparedStatements::default();
         for _ in 0..MAX_PREPARED_STATEMENTS {
             let statement_id = statements.allocate_id().unwrap();
-            statements.insert(statement_id, "SELECT 1".into(), 0);
+            statements.insert(statement_id, "SELECT 1".into(), None, 0);
         }
         assert_eq!(statements.allocate_id(), None);
         statements.handle_close(&[&[COM_STMT_CLOSE][..], &7u32.to_le_bytes()].concat());
--- a/crates/mysql/src/session.rs
+++ b/crates/mysql/src/session.rs
@@ -13,7 +13,7 @@
 };
 use crate::login::{AuthenticatedClient, ConnectionProfile};
 use crate::pinning::{ConnectionRelease, Pinning, TransactionState};
-use crate::prepared::{self, ExecuteCommand, ExecuteError, PreparedStatements, RequiredStatement};
+use crate::prepared::{self, ExecuteCommand, ExecuteError, PreparedStatements, StatementRequirements};
 use crate::reply::{ResponseEnd, ResponseKind};
 use crate::statement::{StatementKind, classify};
 use bytes::Bytes;
@@ -54,8 +54,8 @@
     pub selects_database: Option<String>,
     /// The command to send, if it differs from the one received.
     pub command: Option<Bytes>,
-    /// The prepared statement that the command executes.
-    pub required_statement: Option<RequiredStatement>,
+    /// The prepared statements that the command requires of its connection.
+    pub statements: Box<StatementRequirements>,
     /// The session's id and the text of the statement that the command prepares.
     pub prepares: Option<(u32, Bytes)>,
     /// The command refers to the result of the previous statement.
@@ -236,11 +236,10 @@
                 Err(error) => return CommandAction::Respond(execute_error_packet(&error).encode()),
             };
         match self.plan_statement(kind, depends_on_previous) {
-            CommandAction::Forward(forwarded) => CommandAction::Forward(ForwardedCommand {
-                command: Some(command),
-                required_statement: Some(required_statement),
-                ..forwarded
-            }),
+            CommandAction::Forward(mut forwarded) => {
+                forwarded.statements.executed = Some(required_statement);
+                CommandAction::Forward(ForwardedCommand { command: Some(command), ..forwarded })
+            }
             other => other,
         }
     }
@@ -257,7 +256,18 @@
             self.pinning = Pinning::default();
         }
         let is_pinned = self.pinning.is_pinned();
+        let has_session_state = self.pinning.session_state;
+        let begins_session_state = kind == StatementKind::SessionState && !has_session_state;
         CommandAction::Forward(ForwardedCommand {
+            statements: Box::new(StatementRequirements {
+                executed: None,
+                kept: match begins_session_state {
+                    true => self.prepared_statements.all(),
+                    false => Vec::new(),
+                },
+                closed: self.prepared_statements.take_removed_ids(),
+                has_session_state,
+            }),
             // A repeat may use another connection, which has neither the transaction nor the session state.
             is_repeatable: kind == StatementKind::Read && !is_pinned,
             is_pinned,
@@ -278,7 +288,6 @@
             },
             depends_on_previous,
             command: None,
-            required_statement: None,
             prepares: None,
         })
     }
@@ -293,7 +302,12 @@
         if let (Some((statement_id, text)), ResponseEnd::Complete { prepared: Some(prepared), .. }) =
             (&command.prepares, end)
         {
-            self.prepared_statements.insert(*statement_id, text.clone(), prepared.parameter_count);
+            self.prepared_statements.insert(
+                *statement_id,
+                text.clone(),
+                self.database.clone(),
+                prepared.parameter_count,
+            );
         }
     }
 
--- a/crates/mysql/tests/common/mod.rs
+++ b/crates/mysql/tests/common/mod.rs
@@ -175,7 +175,12 @@
 
 /// Connects a client that sends no statements by itself.
 pub fn connect_client(address: SocketAddr, user: &str, password: &str) -> mysql::Result<mysql::Conn> {
-    let options = mysql::OptsBuilder::new()
+    mysql::Conn::new(client_options(address, user, password))
+}
+
+/// The options of a client that sends no statements by itself and keeps all that it has prepared.
+pub fn client_options(address: SocketAddr, user: &str, password: &str) -> mysql::OptsBuilder {
+    mysql::OptsBuilder::new()
         .ip_or_hostname(Some("127.0.0.1"))
         .tcp_port(address.port())
         .user(Some(user))
@@ -183,8 +188,8 @@
         .db_name(Some("plans"))
         .prefer_socket(false)
         .max_allowed_packet(Some(64 << 20))
-        .read_timeout(Some(Duration::from_secs(30)));
-    mysql::Conn::new(options)
+        .stmt_cache_size(1024)
+        .read_timeout(Some(Duration::from_secs(30)))
 }
 
 /// Runs a statement and returns the rows as text, with None for NULL.
--- a/crates/mysql/tests/served.rs
+++ b/crates/mysql/tests/served.rs
@@ -97,6 +97,91 @@
     }
 }
 
+/// Guards against statements that run in a database which was selected after their PREPARE, or an earlier one that has none.
+#[test]
+fn prepared_statement_keeps_its_database_when_its_connection_is_lost() {
+    let server = MySqlServer::start(SERVER_PASSWORD, default_reply);
+    let proxy = Proxy::start(&[&server]);
+    let options = client_options(proxy.address, "planner", CLIENT_PASSWORD).db_name(None::<String>);
+    let mut client = mysql::Conn::new(options).unwrap();
+    let without_database = client.prep("INSERT INTO steppe.plans VALUES (1)").unwrap();
+    client.query_drop("USE steppe").unwrap();
+    let in_steppe = client.prep("INSERT INTO plans VALUES (?)").unwrap();
+    client.query_drop("USE archive").unwrap();
+    for round in 0..3 {
+        server.close_connections();
+        client.exec_drop(&in_steppe, (round,)).unwrap();
+        client.exec_drop(&without_database, ()).unwrap();
+        client.query_drop("INSERT INTO plans VALUES (9)").unwrap();
+    }
+    let databases = |text: &str| -> HashSet<Option<String>> {
+        let statements = server.statements();
+        statements.into_iter().filter(|statement| statement.text == text).map(|s| s.database).collect()
+    };
+    for round in 0..3 {
+        let text = format!("INSERT INTO plans VALUES ({round})");
+        assert_eq!(databases(&text), HashSet::from([Some("steppe".into())]), "{text}");
+    }
+    assert_eq!(databases("INSERT INTO steppe.plans VALUES (1)"), HashSet::from([None]));
+    assert_eq!(databases("INSERT INTO plans VALUES (9)"), HashSet::from([Some("archive".into())]));
+}
+
+/// Guards against statements that are prepared again after the session has selected another SQL mode: those that moved
+/// from another connection before the SET, and those beyond the number that a shared connection keeps.
+#[test]
+fn prepared_statement_keeps_its_sql_mode() {
+    const STATEMENTS: usize = 100;
+    let server = MySqlServer::start(SERVER_PASSWORD, default_reply);
+    let proxy = Proxy::start(&[&server]);
+    let mut client = proxy.connect();
+    client.query_drop("USE steppe").unwrap();
+    let prepare = |client: &mut mysql::Conn, mode: &str| -> Vec<mysql::Statement> {
+        (0..STATEMENTS).map(|n| client.prep(format!("INSERT INTO {mode} VALUES ({n})")).unwrap()).collect()
+    };
+    let before = prepare(&mut client, "plain");
+    client.prep("SELECT a FROM wrong").unwrap_err();
+    server.close_connections();
+    client.query_drop("SET sql_mode='ANSI_QUOTES'").unwrap();
+    let within = prepare(&mut client, "quotes");
+    client.query_drop("SET sql_mode='PIPES_AS_CONCAT'").unwrap();
+    for statement in before.iter().chain(&within) {
+        client.exec_drop(statement, ()).unwrap();
+    }
+    for statement in server.statements() {
+        let expected = match &statement.text {
+            text if text.contains("plain") => None,
+            text if text.contains("quotes") => Some("'ANSI_QUOTES'".to_string()),
+            _ => continue,
+        };
+        assert_eq!((statement.sql_mode, statement.database.as_deref()), (expected, Some("steppe")));
+    }
+    assert_eq!(server.statements().len(), 3 + 2 * STATEMENTS);
+    // Where the state itself is lost the session ends, as before.
+    server.close_connections();
+    assert!(client.exec_drop(&before[0], ()).is_err());
+}
+
+/// Guards against the server's default character set on a connection that was reset for another session.
+#[test]
+fn reset_connection_has_the_character_set_of_the_login() {
+    let server = MySqlServer::start(SERVER_PASSWORD, default_reply);
+    let proxy = Proxy::start(&[&server]);
+    let mut clients = [proxy.connect(), proxy.connect(), proxy.connect()];
+    for _ in 0..3 {
+        for client in &mut clients {
+            let statement = client.prep("INSERT INTO prepared VALUES (1)").unwrap();
+            client.query_drop("INSERT INTO texts VALUES (1)").unwrap();
+            client.exec_drop(&statement, ()).unwrap();
+        }
+    }
+    let statements = server.statements();
+    let connections: HashSet<u32> = statements.iter().map(|statement| statement.connection).collect();
+    let collations: HashSet<u8> = statements.iter().map(|statement| statement.collation).collect();
+    assert!(connections.len() < clients.len(), "sessions share connections: {connections:?}");
+    assert_eq!((collations.len(), statements.len()), (1, 18), "{collations:?}");
+    assert!(!collations.contains(&8), "the default of the server");
+}
+
 #[tokio::test]
 async fn mysql_async_client_reads_and_writes() {
     use mysql_async::prelude::Queryable;
--- a/crates/standins/src/mysql.rs
+++ b/crates/standins/src/mysql.rs
@@ -20,6 +20,12 @@
 const CONNECT_WITH_DB: u32 = 8;
 /// Error number of a deadlock, which rolls the whole transaction back.
 const ER_LOCK_DEADLOCK: u16 = 1213;
+/// The default collation of the server, which a reset of a connection selects.
+const DEFAULT_COLLATION: u8 = 8;
+/// Variable whose value parsers depend on.
+const SQL_MODE: &str = "SQL_MODE";
+/// Start of a SET of the character set by the id of a collation, which is not recorded as a statement.
+const SET_CHARACTER_SET: &str = "SET @@session.character_set_client=";
 const NONCE: [u8; 20] = *b"a nonce of 20 bytes!";
 
 /// A statement as received.
@@ -27,8 +33,12 @@
 pub struct ReceivedStatement {
     /// Number of its connection.
     pub connection: u32,
-    /// Current database of the connection.
+    /// Current database of the connection; that of its PREPARE for a prepared statement.
     pub database: Option<String>,
+    /// Collation of the connection at that time.
+    pub collation: u8,
+    /// SQL mode that SET has selected, at that time.
+    pub sql_mode: Option<String>,
     /// Text of the statement.
     pub text: String,
     /// Whether a transaction is open.
@@ -287,15 +297,25 @@
     sequence: u8,
     capabilities: u32,
     database: Option<String>,
+    collation: u8,
     in_transaction: bool,
     variables: HashMap<String, String>,
     /// Prepared statements, by id.
     prepared: HashMap<u32, Prepared>,
 }
 
+/// What a server keeps of the connection at the PREPARE of a statement.
+#[derive(Clone, Default)]
+struct Environment {
+    database: Option<String>,
+    collation: u8,
+    sql_mode: Option<String>,
+}
+
 #[derive(Default)]
 struct Prepared {
     text: String,
+    environment: Environment,
     types: Vec<u8>,
     long_data: HashMap<u16, Vec<u8>>,
 }
@@ -309,6 +329,7 @@
             sequence: 0,
             capabilities: 0,
             database: None,
+            collation: DEFAULT_COLLATION,
             in_transaction: false,
             variables: HashMap::new(),
             prepared: HashMap::new(),
@@ -393,6 +414,7 @@
         greeting.extend_from_slice(b"mysql_native_password\0");
         self.send_packet(&greeting)?;
         let login = self.read_packet()?;
+        self.collation = *login.get(8).ok_or(invalid_data("the packet is too short"))?;
         self.capabilities = u32::from_le_bytes(
             login.get(..4).and_then(|b| b.try_into().ok()).ok_or(invalid_data("the packet is too short"))?,
         );
@@ -456,6 +478,7 @@
                 0x19 => drop(self.prepared.remove(&split_statement_id(rest)?.0)),
                 0x1f => {
                     (self.in_transaction, self.variables) = (false, HashMap::new());
+                    self.collation = DEFAULT_COLLATION;
                     self.prepared.clear();
                     self.send_packet(&self.format_ok(0, 0, 0))?;
                 }
@@ -470,7 +493,7 @@
         }
         let id = next_statement_id();
         let parameters = text.matches('?').count() as u16;
-        self.prepared.insert(id, Prepared { text, ..Prepared::default() });
+        self.prepared.insert(id, Prepared { text, environment: self.environment(), ..Prepared::default() });
         let mut out = Vec::new();
         let head = [&[0][..], &id.to_le_bytes(), &[0, 0], &parameters.to_le_bytes(), &[0, 0, 0]].concat();
         self.write_packet(&mut out, &head);
@@ -496,14 +519,30 @@
             ));
         };
         let text = prepared.bind_parameters(rest.get(5..).ok_or(invalid_data("the packet is too short"))?)?;
-        self.run(shared, text, true)
+        let environment = prepared.environment.clone();
+        self.run(shared, text, Some(environment))
     }
 
     fn execute_text(&mut self, shared: &Shared, text: String) -> io::Result<()> {
-        self.run(shared, text, false)
+        if let Some(collation) = text.strip_prefix(SET_CHARACTER_SET) {
+            let id = collation.split(',').next().and_then(|id| id.parse().ok());
+            self.collation = id.ok_or(invalid_data("the collation is not a number"))?;
+            return self.send_packet(&self.format_ok(0, 0, 0));
+        }
+        self.run(shared, text, None)
     }
 
-    fn run(&mut self, shared: &Shared, text: String, binary: bool) -> io::Result<()> {
+    fn environment(&self) -> Environment {
+        Environment {
+            database: self.database.clone(),
+            collation: self.collation,
+            sql_mode: self.variables.get(SQL_MODE).cloned(),
+        }
+    }
+
+    /// Runs a statement, in `prepared_in` if it is a prepared one, which is answered in binary rows.
+    fn run(&mut self, shared: &Shared, text: String, prepared_in: Option<Environment>) -> io::Result<()> {
+        let binary = prepared_in.is_some();
         let upper = text.to_ascii_uppercase();
         match upper.as_str() {
             "BEGIN" | "START TRANSACTION" => self.in_transaction = true,
@@ -520,9 +559,12 @@
         if let Some(name) = upper.strip_prefix("USE ") {
             self.database = Some(name.to_ascii_lowercase());
         }
+        let environment = prepared_in.unwrap_or_else(|| self.environment());
         let statement = ReceivedStatement {
             connection: self.number,
-            database: self.database.clone(),
+            database: environment.database,
+            collation: environment.collation,
+            sql_mode: environment.sql_mode,
             text,
             in_transaction: self.in_transaction,
             variables: self.variables.clone(),
