Stall limits go by what a peer takes or gives, over HTTP and MySQL

A client counted as stalled once nothing had been written to it for 15 s, but a write shows what the system accepts: some megabytes ahead, and room again only after a third of them. The same class stood in other limits: those of MySQL ran over a whole write, packet or command, whatever its size; a client whose body its backend takes slowly was held to the limit on answers, and a backend counted as stalled while the client's chunk kept it from being read.

--- a/crates/dewpier/tests/streams.rs
+++ b/crates/dewpier/tests/streams.rs
@@ -13,7 +13,7 @@
 use serde_json::json;
 use sockets::*;
 use std::cell::RefCell;
-use std::io::{BufReader, Write};
+use std::io::{BufReader, Read, Write};
 use std::net::TcpStream;
 use std::rc::Rc;
 use std::sync::atomic::Ordering;
@@ -259,6 +259,59 @@
     });
 }
 
+/// Guards against a stall limit that measures what the system accepts for a client and not what the client takes: with
+/// some megabytes accepted, a client that reads 64 kB a second shows no progress for longer than the limit.
+#[test]
+fn clients_that_read_steadily_are_not_cut_off_and_those_that_stop_are() {
+    const RATE: f64 = 64_000.0;
+    /// Longer than the stall limit of 15 s. A client that was cut off goes on reading what its system has for longer.
+    const READ_TIME: Duration = Duration::from_secs(30);
+    let bulk = BulkServer::start();
+    let proxy = start_proxy(&bulk);
+    let size = 32 * MB;
+    let begin = || {
+        let mut stream = proxy.connect();
+        let head = head("order", &format!("size={size}&framing=length"));
+        stream.get_mut().write_all(format!("{head}Content-Length: 0\r\n\r\n").as_bytes()).unwrap();
+        assert_eq!(read_head(&mut stream).expect("an answer").status(), 200);
+        stream
+    };
+    std::thread::scope(|scope| {
+        for _ in 0..3 {
+            scope.spawn(|| {
+                let (mut stream, started_at, mut received) = (begin(), Instant::now(), 0);
+                let mut piece = [0; 6400];
+                while started_at.elapsed() < READ_TIME {
+                    let read = stream.read(&mut piece).expect("more of the answer");
+                    assert!(read > 0, "cut off after {received} bytes, {:?}", started_at.elapsed());
+                    received += read;
+                    let due = Duration::from_secs_f64(received as f64 / RATE);
+                    std::thread::sleep(due.saturating_sub(started_at.elapsed()));
+                }
+                // The rest at full speed.
+                let mut piece = vec![0; 1 << 20];
+                while received < size {
+                    let read = stream.read(&mut piece).unwrap_or_default();
+                    assert!(read > 0, "cut off after {received} bytes");
+                    received += read;
+                }
+            });
+        }
+        scope.spawn(|| {
+            let mut stopped = begin();
+            std::thread::sleep(READ_TIME);
+            let mut received = 0;
+            let mut piece = [0; 64 << 10];
+            while let Ok(read) = stopped.read(&mut piece)
+                && read > 0
+            {
+                received += read;
+            }
+            assert!(received < size, "the client that stopped was cut off");
+        });
+    });
+}
+
 #[test]
 fn stalled_long_bodies_do_not_block_short_requests() {
     let bulk = BulkServer::start();
--- a/crates/mysql/src/io/answer.rs
+++ b/crates/mysql/src/io/answer.rs
@@ -9,16 +9,12 @@
 use bytes::{Bytes, BytesMut};
 use gannetproxy::engine::{Permit, ReplySink};
 use std::cell::Cell;
-use std::time::Duration;
 use tokio::sync::mpsc;
-use tokio::time::timeout;
 
 /// Unit in bytes in which response buffers are counted, and in which responses are streamed.
 const CHUNK_BYTES: usize = 16 << 10;
 /// Chunks of a streamed response that may wait for the client.
 const MAX_QUEUED_CHUNKS: usize = 4;
-/// Time in which the next packet of a streamed response must arrive, and in which the client must accept a chunk.
-pub(super) const STREAM_STALL_TIMEOUT: Duration = Duration::from_secs(60);
 
 /// A server's response.
 pub struct ServerResponse {
@@ -96,9 +92,7 @@
             let packet = match &chunk_sender {
                 // Until the response is streamed, the engine's timer limits the wait.
                 None => stream.next_packet().await?,
-                Some(_) => timeout(STREAM_STALL_TIMEOUT, stream.next_packet())
-                    .await
-                    .map_err(|_| ReadFailure::ConnectionBroken)??,
+                Some(_) => stream.next_packet_within(self.response_stall_timeout).await?,
             };
             packet::write_packet(&mut frames, &packet, sequence);
             let head = packet.get(..MAX_HEAD_BYTES).unwrap_or(&packet);
@@ -119,10 +113,8 @@
             match &chunk_sender {
                 Some(sender) if frames.len() >= CHUNK_BYTES => {
                     let chunk = ResponseChunk::Frames(frames.split().freeze(), stream.sequence());
-                    let sent = timeout(STREAM_STALL_TIMEOUT, sender.send(chunk)).await;
-                    if !matches!(sent, Ok(Ok(()))) {
-                        return Err(ReadFailure::NotConsumed);
-                    }
+                    // The receiver is dropped once the client makes no progress.
+                    sender.send(chunk).await.map_err(|_| ReadFailure::NotConsumed)?;
                 }
                 Some(_) => {}
                 None => {
--- a/crates/mysql/src/io/exchange_settings.rs
+++ b/crates/mysql/src/io/exchange_settings.rs
@@ -13,6 +13,7 @@
     pub(super) max_buffered_bytes: usize,
     pub(super) max_packet_bytes: usize,
     pub(super) connect_timeout: Duration,
+    pub(super) response_stall_timeout: Duration,
     pub(super) reuse_timeout: Duration,
     pub(super) credentials: Rc<Credentials>,
 }
--- a/crates/mysql/src/io/front.rs
+++ b/crates/mysql/src/io/front.rs
@@ -2,6 +2,7 @@
 
 use super::answer::{Remainder, ResponseChunk, ServerResponse};
 use super::pinned_slot::PinnedSlot;
+use super::stall::StallTimeouts;
 use super::upstream::{MySqlUpstream, Payload};
 use super::wire::{PacketStream, ReceiveError};
 use crate::auth::{NONCE_BYTES, PasswordHash};
@@ -18,6 +19,7 @@
 use gannetproxy::{Request, RequestId, Time};
 use std::cell::Cell;
 use std::collections::HashMap;
+use std::io;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
@@ -26,10 +28,6 @@
 
 /// Time in which a client must have logged in.
 const LOGIN_TIMEOUT: Duration = Duration::from_secs(10);
-/// Time in which the rest of a command must arrive.
-const COMMAND_READ_TIMEOUT: Duration = Duration::from_secs(30);
-/// Time in which a client must accept what is sent to it.
-const CLIENT_WRITE_TIMEOUT: Duration = Duration::from_secs(60);
 /// Time for which a pinned session may continue after a stop was requested.
 const PINNED_SESSION_GRACE: Duration = Duration::from_millis(1500);
 /// Interval of the checks for open sessions during a stop, and delay after a failed accept.
@@ -50,6 +48,8 @@
     pub read_own_writes_window: Duration,
     /// Time limits in seconds of reads, and of statements that may write.
     pub deadlines: [Time; 2],
+    /// Longest times for which a client makes no progress.
+    pub stall_timeouts: StallTimeouts,
     /// Limits of a stop.
     pub stop_limits: StopLimits,
 }
@@ -246,12 +246,12 @@
             };
             let sent = match session.handle_command(&command) {
                 CommandAction::Quit => return,
-                CommandAction::Respond(packet) => send_to_client(stream, &packet).await,
+                CommandAction::Respond(packet) => self.send_to_client(stream, &packet).await,
                 CommandAction::NoResponse => continue,
                 CommandAction::ResetSession(packet) => {
                     slot.clear();
                     session_id = self.allocate_id();
-                    send_to_client(stream, &packet).await
+                    self.send_to_client(stream, &packet).await
                 }
                 CommandAction::Forward(forwarded) => {
                     let pending = PendingCommand {
@@ -263,9 +263,9 @@
                     };
                     match self.run_command(stream, &mut session, pending, forwarded).await {
                         Some(Delivery::Complete) => Some(()),
-                        Some(Delivery::Error(error)) => send_to_client(stream, &error.encode()).await,
+                        Some(Delivery::Error(error)) => self.send_to_client(stream, &error.encode()).await,
                         Some(Delivery::ErrorAndClose(error)) => {
-                            let _ = send_to_client(stream, &error.encode()).await; // closed either way
+                            let _ = self.send_to_client(stream, &error.encode()).await; // closed either way
                             return;
                         }
                         None => return,
@@ -281,7 +281,15 @@
     /// Reads the next command. None if the client is idle for too long or the command stays incomplete.
     async fn read_command(&self, stream: &mut PacketStream) -> Option<Result<bytes::BytesMut, ReceiveError>> {
         timeout(self.settings.idle_timeout, stream.wait_readable()).await.ok()?;
-        timeout(COMMAND_READ_TIMEOUT, stream.next_packet()).await.ok()
+        match stream.next_packet_within(self.settings.stall_timeouts.command).await {
+            Err(ReceiveError::Io(error)) if error.kind() == io::ErrorKind::TimedOut => None,
+            command => Some(command),
+        }
+    }
+
+    /// Sends a packet to a client. None if the client does not accept it.
+    async fn send_to_client(&self, stream: &mut PacketStream, packet: &[u8]) -> Option<()> {
+        stream.send_packet_within(packet, self.settings.stall_timeouts.client_write).await.ok()
     }
 
     /// Sends a response to the client, streamed or as a whole. None if the client does not accept it. If the response breaks
@@ -296,7 +304,8 @@
         forwarded: ForwardedCommand,
     ) -> Option<Delivery> {
         let ServerResponse { frames, mut next_sequence, remainder, .. } = response;
-        timeout(CLIENT_WRITE_TIMEOUT, stream.send_frames(&frames)).await.ok()?.ok()?;
+        let write_timeout = self.settings.stall_timeouts.client_write;
+        stream.send_frames_within(&frames, write_timeout).await.ok()?;
         drop(frames);
         let mut chunks = match remainder {
             Remainder::Complete(end, pinning) => {
@@ -308,7 +317,7 @@
         loop {
             match chunks.recv().await {
                 Some(ResponseChunk::Frames(frames, sequence_after)) => {
-                    timeout(CLIENT_WRITE_TIMEOUT, stream.send_frames(&frames)).await.ok()?.ok()?;
+                    stream.send_frames_within(&frames, write_timeout).await.ok()?;
                     next_sequence = sequence_after;
                 }
                 Some(ResponseChunk::End(end, pinning)) => {
@@ -459,11 +468,6 @@
     ErrorAndClose(ErrPacket),
 }
 
-/// Sends a packet to a client. None if the client does not accept it.
-async fn send_to_client(stream: &mut PacketStream, packet: &[u8]) -> Option<()> {
-    timeout(CLIENT_WRITE_TIMEOUT, stream.send_packet(packet)).await.ok()?.ok()
-}
-
 /// Tells a client why its connection is closed.
 async fn report_receive_error(stream: &mut PacketStream, error: &ReceiveError) {
     let error = match error {
--- a/crates/mysql/src/io/mod.rs
+++ b/crates/mysql/src/io/mod.rs
@@ -5,6 +5,7 @@
 mod exchange_settings;
 mod front;
 mod pinned_slot;
+mod stall;
 mod upstream;
 mod wire;
 
@@ -13,4 +14,5 @@
 pub use answer::{Remainder, ResponseChunk, ServerResponse};
 pub use front::{Front, FrontSettings, StopLimits};
 pub use pinned_slot::PinnedSlot;
+pub use stall::StallTimeouts;
 pub use upstream::{Endpoint, MySqlUpstream, Payload};
--- a/crates/mysql/src/io/upstream.rs
+++ b/crates/mysql/src/io/upstream.rs
@@ -1,8 +1,7 @@
 //! The MySQL upstream of the engine: idle connections to each server, and one exchange at a time on a connection.
 
 use super::answer::{
-    CompletedResponse, ReadFailure, Remainder, ResponseChunk, STREAM_STALL_TIMEOUT, ServerResponse,
-    error_response,
+    CompletedResponse, ReadFailure, Remainder, ResponseChunk, ServerResponse, error_response,
 };
 use super::conn::ServerConnection;
 use super::exchange_settings::ExchangeSettings;
@@ -111,6 +110,8 @@
     pub connect_timeout: Duration,
     /// Time after which servers close idle connections.
     pub server_idle_timeout: Duration,
+    /// Time without a byte of a streamed response after which its server has stalled.
+    pub response_stall_timeout: Duration,
     /// User and password of the proxy at the servers.
     pub credentials: Rc<Credentials>,
     /// The statements that the servers handle.
@@ -125,6 +126,7 @@
             max_buffered_bytes: self.max_buffered_bytes,
             max_packet_bytes: self.max_packet_bytes,
             connect_timeout: self.connect_timeout,
+            response_stall_timeout: self.response_stall_timeout,
             reuse_timeout: self.server_idle_timeout.mul_f64(REUSE_IDLE_FRACTION),
             credentials: self.credentials.clone(),
         }
@@ -362,9 +364,10 @@
             sender.send(ResponseChunk::Frames(frames.freeze(), next_sequence)).await?;
             sender.send(ResponseChunk::End(end, pinning)).await
         };
-        return match timeout(STREAM_STALL_TIMEOUT, last_chunks).await {
-            Ok(Ok(())) => upstream_result(Outcome::Served, None),
-            _ => upstream_result(Outcome::Cancelled, None),
+        // The receiver is dropped once the client makes no progress.
+        return match last_chunks.await {
+            Ok(()) => upstream_result(Outcome::Served, None),
+            Err(_) => upstream_result(Outcome::Cancelled, None),
         };
     }
     let response = Some(ServerResponse {
--- a/crates/mysql/src/io/wire.rs
+++ b/crates/mysql/src/io/wire.rs
@@ -1,13 +1,17 @@
 //! Reads and writes packets on a socket.
 
+use super::stall;
 use crate::packet::{FrameError, PacketReader, write_packet};
 use bytes::BytesMut;
+use socket2::SockRef;
 use std::io;
 use std::time::Duration;
 use thiserror::Error;
 use tokio::io::{AsyncReadExt, AsyncWriteExt, Interest};
 use tokio::net::TcpStream;
 
+/// Bytes that the system holds unsent for a peer.
+const MAX_UNSENT_BYTES: u32 = 64 << 10;
 /// Bytes requested from the socket at a time.
 const READ_BYTES: usize = 16 << 10;
 /// How often a disconnect is checked for while received bytes are unread.
@@ -34,7 +38,9 @@
 impl PacketStream {
     /// Wraps a connection from which packets of at most `max_bytes` are read.
     pub fn new(stream: TcpStream, max_bytes: usize) -> Self {
-        let _ = stream.set_nodelay(true); // the connection works without it
+        // The connection works without these. The limit lets a write that completes show that the peer takes bytes.
+        let _ = stream.set_nodelay(true);
+        let _ = SockRef::from(&stream).set_tcp_notsent_lowat(MAX_UNSENT_BYTES);
         Self { stream, buffer: BytesMut::new(), reader: PacketReader::new(max_bytes) }
     }
 
@@ -59,10 +65,25 @@
             if let Some(packet) = self.reader.next_packet(&mut self.buffer)? {
                 return Ok(packet);
             }
-            self.buffer.reserve(READ_BYTES);
-            if self.stream.read_buf(&mut self.buffer).await? == 0 {
-                return Err(io::Error::from(io::ErrorKind::UnexpectedEof).into());
+            self.fill_buffer().await?;
+        }
+    }
+
+    /// Reads the next packet, with an error once no byte arrives for `stall_timeout`.
+    pub async fn next_packet_within(&mut self, stall_timeout: Duration) -> Result<BytesMut, ReceiveError> {
+        loop {
+            if let Some(packet) = self.reader.next_packet(&mut self.buffer)? {
+                return Ok(packet);
             }
+            stall::within(stall_timeout, self.fill_buffer()).await?;
+        }
+    }
+
+    async fn fill_buffer(&mut self) -> io::Result<()> {
+        self.buffer.reserve(READ_BYTES);
+        match self.stream.read_buf(&mut self.buffer).await? {
+            0 => Err(io::ErrorKind::UnexpectedEof.into()),
+            _ => Ok(()),
         }
     }
 
@@ -81,9 +102,25 @@
         self.stream.write_all(&out).await
     }
 
-    /// Writes frames unchanged.
-    pub async fn send_frames(&mut self, frames: &[u8]) -> io::Result<()> {
-        self.stream.write_all(frames).await
+    /// Writes a packet as [`Self::send_packet`], with an error once the peer takes no byte for `stall_timeout`.
+    pub async fn send_packet_within(&mut self, payload: &[u8], stall_timeout: Duration) -> io::Result<()> {
+        let mut out = BytesMut::with_capacity(payload.len() + 64);
+        let next_sequence = write_packet(&mut out, payload, self.reader.sequence());
+        self.reader.set_sequence(next_sequence);
+        self.send_frames_within(&out, stall_timeout).await
+    }
+
+    /// Writes frames unchanged, with an error once the peer takes no byte for `stall_timeout`.
+    pub async fn send_frames_within(&mut self, frames: &[u8], stall_timeout: Duration) -> io::Result<()> {
+        let mut unsent = frames;
+        while !unsent.is_empty() {
+            let written = stall::within(stall_timeout, self.stream.write(unsent)).await?;
+            if written == 0 {
+                return Err(io::ErrorKind::WriteZero.into());
+            }
+            unsent = &unsent[written..];
+        }
+        Ok(())
     }
 
     /// Whether nothing was received and the peer has not closed. Between two exchanges anything else makes the connection
--- a/crates/mysql/tests/common/mod.rs
+++ b/crates/mysql/tests/common/mod.rs
@@ -2,7 +2,7 @@
 #![allow(dead_code)]
 
 use dewpier_mysql::auth::PasswordHash;
-use dewpier_mysql::io::{Front, FrontSettings, MySqlUpstream, Role, StopLimits};
+use dewpier_mysql::io::{Front, FrontSettings, MySqlUpstream, Role, StallTimeouts, StopLimits};
 use dewpier_mysql::login::Credentials;
 use dewpier_standins::mysql::{MySqlServer, ReceivedStatement, Reply};
 use gannetproxy::engine::{BackendListUpdate, Budget, Engine, EngineLimits, ListedBackend};
@@ -51,23 +51,33 @@
 
     /// Starts a proxy that buffers at most `max_buffered_bytes` of a response.
     pub fn with_buffer_limit(servers: &[&MySqlServer], max_buffered_bytes: usize) -> Self {
-        Self::start_with(&addresses(servers), None, max_buffered_bytes)
+        Self::start_with(&addresses(servers), None, max_buffered_bytes, StallTimeouts::default())
     }
 
     /// Starts a proxy for the servers at these addresses.
     pub fn at_addresses(addresses: &[SocketAddr]) -> Self {
-        Self::start_with(addresses, None, 1 << 20)
+        Self::start_with(addresses, None, 1 << 20, StallTimeouts::default())
+    }
+
+    /// Starts a proxy for the server at this address that streams responses of over `max_buffered_bytes`.
+    pub fn with_stall_timeouts(
+        address: SocketAddr,
+        max_buffered_bytes: usize,
+        stall_timeouts: StallTimeouts,
+    ) -> Self {
+        Self::start_with(&[address], None, max_buffered_bytes, stall_timeouts)
     }
 
     /// Starts a proxy for a primary and replicas.
     pub fn with_replicas(primary: &MySqlServer, replicas: &[&MySqlServer]) -> Self {
-        Self::start_with(&[primary.address], Some(&addresses(replicas)), 1 << 20)
+        Self::start_with(&[primary.address], Some(&addresses(replicas)), 1 << 20, StallTimeouts::default())
     }
 
     fn start_with(
         servers: &[SocketAddr],
         replicas: Option<&[SocketAddr]>,
         max_buffered_bytes: usize,
+        stall_timeouts: StallTimeouts,
     ) -> Self {
         let list = |servers: &[SocketAddr]| -> Vec<ListedBackend> {
             (0..).zip(servers).map(|(id, address)| listed_backend(id, *address, Status::InService)).collect()
@@ -100,6 +110,7 @@
                     max_packet_bytes: 64 << 20,
                     connect_timeout: Duration::from_secs(2),
                     server_idle_timeout: Duration::from_secs(60),
+                    response_stall_timeout: stall_timeouts.response,
                     credentials: Rc::new(Credentials {
                         user: "dewpier".into(),
                         password: SERVER_PASSWORD.into(),
@@ -120,6 +131,7 @@
                     max_command_bytes: 64 << 20,
                     read_own_writes_window: Duration::from_secs(1),
                     deadlines: [STATEMENT_DEADLINE.as_secs_f64(); 2],
+                    stall_timeouts,
                     stop_limits: STOP_LIMITS,
                 };
                 let users = [
--- a/crates/standins/src/relay.rs
+++ b/crates/standins/src/relay.rs
@@ -2,6 +2,7 @@
 //! closes: bytes wait until the relay is unblocked. With several targets it distributes connections like a load
 //! balancer.
 
+use socket2::{Domain, SockRef, Socket, Type};
 use std::io::{ErrorKind, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
@@ -10,6 +11,9 @@
 
 /// Interval at which a connection checks whether it is blocked or the relay stops.
 const POLL_INTERVAL: Duration = Duration::from_millis(5);
+/// Size of the receive buffers of a slow relay, so that it does not take much ahead. Several segments of the loopback
+/// interface, as a peer waits long to send less than one.
+const SLOW_BUFFER_BYTES: usize = 256 << 10;
 /// Maximum number of open connections; further ones are closed.
 const MAX_CONNECTIONS: usize = 256;
 
@@ -17,6 +21,8 @@
 struct Shared {
     /// Whether data from and to the connecting side is blocked.
     is_blocked: [AtomicBool; 2],
+    /// Bytes a second that pass in each direction, if they are limited.
+    rate: Option<f64>,
     is_stopping: AtomicBool,
     open_connections: AtomicUsize,
     /// Targets, used in turn.
@@ -37,11 +43,23 @@
         Self::round_robin(vec![to])
     }
 
+    /// Starts a relay to one target that reads steadily in small steps, `bytes_per_second` in each direction.
+    pub fn slow(to: SocketAddr, bytes_per_second: f64) -> Self {
+        Self::start_with(vec![to], Some(bytes_per_second))
+    }
+
     /// Starts a relay that distributes connections over targets in turn; without targets it closes them.
     pub fn round_robin(to: Vec<SocketAddr>) -> Self {
+        Self::start_with(to, None)
+    }
+
+    fn start_with(to: Vec<SocketAddr>, rate: Option<f64>) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        if rate.is_some() {
+            SockRef::from(&listener).set_recv_buffer_size(SLOW_BUFFER_BYTES).expect("a size that is allowed");
+        }
         let address = listener.local_addr().expect("the address of a bound socket");
-        let shared = Arc::new(Shared { to: Mutex::new(to), ..Shared::default() });
+        let shared = Arc::new(Shared { to: Mutex::new(to), rate, ..Shared::default() });
         let thread_shared = shared.clone();
         std::thread::spawn(move || {
             for stream in listener.incoming().map_while(Result::ok) {
@@ -93,7 +111,7 @@
         let to = shared.to.lock().unwrap_or_else(PoisonError::into_inner);
         to.get(accepted % to.len().max(1)).copied().ok_or(ErrorKind::NotConnected)?
     };
-    let to = TcpStream::connect(to)?;
+    let to = connect(to, shared.rate.is_some())?;
     let (reply_from, reply_to) = (to.try_clone()?, from.try_clone()?);
     let thread_shared = shared.clone();
     let reply_thread = std::thread::spawn(move || forward(reply_from, reply_to, &thread_shared, 1));
@@ -102,6 +120,16 @@
     result
 }
 
+/// Connects to a target. A slow relay has a small receive buffer from the start, as a smaller one later drops bytes.
+fn connect(to: SocketAddr, is_slow: bool) -> std::io::Result<TcpStream> {
+    let socket = Socket::new(Domain::for_address(to), Type::STREAM, None)?;
+    if is_slow {
+        socket.set_recv_buffer_size(SLOW_BUFFER_BYTES)?;
+    }
+    socket.connect(&to.into())?;
+    Ok(socket.into())
+}
+
 fn forward(mut from: TcpStream, mut to: TcpStream, shared: &Shared, direction: usize) -> std::io::Result<()> {
     from.set_read_timeout(Some(POLL_INTERVAL))?;
     to.set_nodelay(true)?;
@@ -123,6 +151,9 @@
                 {
                     std::thread::sleep(POLL_INTERVAL);
                 }
+                if let Some(rate) = shared.rate {
+                    std::thread::sleep(Duration::from_secs_f64(read as f64 / rate));
+                }
                 if let Err(error) = to.write_all(&buffer[..read]) {
                     break Err(error);
                 }
